Lay down the protocol layer and the checks

The wire types, the configuration document with its strict decoding and validation, signed envelopes, settings and the refusal form come first, so that transport, coordination and state can be written side by side against them.

The YAML library's own strict mode names neither missing keys nor the field of a type error, so strictyaml compares the syntax tree with the struct first.

--- /dev/null
+++ b/internal/protocol/records/records.go
@@ -0,0 +1,99 @@
+// Package records defines the records that the system keeps on streams of the
+// log service. Every record carries its Writer, so that readers can drop the
+// repeats which arise when an append takes effect and its answer is lost.
+package records
+
+import "medlarslip/internal/protocol/signed"
+
+// Writer identifies one append by one run of one process.
+type Writer struct {
+	Instance string `json:"instance"`
+	// Incarnation is chosen afresh at every start.
+	Incarnation string `json:"incarnation"`
+	// Sequence counts the records of this incarnation on this stream.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Configuration is a record of the configuration stream: either a newly
+// published document or, with Snapshot set, the repeat of an accepted one
+// that is appended before retention removes it.
+type Configuration struct {
+	Writer   Writer          `json:"writer"`
+	Envelope signed.Envelope `json:"envelope"`
+	// Snapshot is the number of the accepted document that this record
+	// repeats; 0 on a newly published document.
+	Snapshot int64 `json:"snapshot,omitempty"`
+}
+
+// Audit is a record of the audit stream: one automatic change.
+type Audit struct {
+	Writer Writer `json:"writer"`
+	// Time is the wall clock of the writer in RFC 3339; it orders nothing.
+	Time string `json:"time"`
+	// Actor names the instance or person that made the change.
+	Actor string `json:"actor"`
+	// Action names the change, such as halt or breaker_open.
+	Action string `json:"action"`
+	// Subject names what was changed.
+	Subject string `json:"subject"`
+	// Reason says why.
+	Reason string `json:"reason"`
+}
+
+// ClaimStep says which step of a non-idempotent call a Claim records.
+type ClaimStep string
+
+const (
+	// ClaimStart claims a key; the first in log order may run the call.
+	ClaimStart ClaimStep = "start"
+	// ClaimDone records the answer of the call.
+	ClaimDone ClaimStep = "done"
+	// ClaimReleased records that the claimed call was never sent.
+	ClaimReleased ClaimStep = "released"
+	// ClaimUnknown records that the call was sent and its answer lost.
+	ClaimUnknown ClaimStep = "unknown"
+)
+
+// Claim is a record of the claims stream.
+type Claim struct {
+	Writer Writer    `json:"writer"`
+	Step   ClaimStep `json:"step"`
+	// Account and Key name the call together.
+	Account string `json:"account"`
+	Key     string `json:"key"`
+	// ClaimID is unique to one attempt to claim the key.
+	ClaimID string `json:"claim_id"`
+	// Fingerprint is the hash of service, method, path and body.
+	Fingerprint string `json:"fingerprint"`
+	// Answer is the kept answer; only with ClaimDone.
+	Answer *KeptAnswer `json:"answer,omitempty"`
+}
+
+// KeptAnswer is the answer of a plain service kept for repeats of the call.
+type KeptAnswer struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// Bill is a record of the billing stream: the cost of one request.
+type Bill struct {
+	Writer    Writer `json:"writer"`
+	RequestID string `json:"request_id"`
+	Account   string `json:"account"`
+	// Outcome is answered, not_run or unknown.
+	Outcome string `json:"outcome"`
+	// Steps lists what was run, in order.
+	Steps []BillStep `json:"steps"`
+}
+
+// BillStep is the cost of one step of a request.
+type BillStep struct {
+	// VersionID names the version, or the plain service.
+	VersionID string `json:"version_id"`
+	Tokens    int64  `json:"tokens"`
+	// Micros is the cost in millionths of the billing currency.
+	Micros int64 `json:"micros"`
+	// Result says how the step ended, such as accepted or below_target.
+	Result string `json:"result"`
+}
--- /dev/null
+++ b/internal/protocol/settings/settings.go
@@ -0,0 +1,236 @@
+// Package settings defines the YAML settings that a process is started with.
+// What operators change while the system runs is in package document instead.
+package settings
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"medlarslip/internal/protocol/signed"
+	"medlarslip/internal/protocol/strictyaml"
+)
+
+// ErrUnreadable is the kind of error of a settings or key file that cannot be
+// read.
+var ErrUnreadable = merry.New("file cannot be read; check its path and that this user may read it")
+
+// Entry is the settings of an entry instance.
+type Entry struct {
+	// Instance names this instance in logs, records and answers.
+	Instance string `yaml:"instance"`
+	// FailureDomain and Region say where this instance runs.
+	FailureDomain string   `yaml:"failure_domain"`
+	Region        string   `yaml:"region"`
+	Listen        Listen   `yaml:"listen"`
+	Platform      Platform `yaml:"platform"`
+	Keys          Keys     `yaml:"keys"`
+	// TLS is left out where callers and backend servers use plain HTTP.
+	TLS    *TLS   `yaml:"tls" optional:"true"`
+	Limits Limits `yaml:"limits"`
+	Drain  Drain  `yaml:"drain"`
+}
+
+// Listen holds the addresses of one instance, each an IP number and port.
+type Listen struct {
+	// Callers is the address that callers connect to.
+	Callers string `yaml:"callers"`
+	// Peers is the address that other entry instances connect to.
+	Peers string `yaml:"peers"`
+	// Metrics is the address of expvar, health and explain pages.
+	Metrics string `yaml:"metrics"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	Log       string `yaml:"log"`
+	Instances string `yaml:"instances"`
+	Ratings   string `yaml:"ratings"`
+	Weights   string `yaml:"weights"`
+}
+
+// Keys names the key material of one instance.
+type Keys struct {
+	// SharedKeyFile holds 32 random bytes in base64, the same on all entry
+	// instances. Session tokens and traffic between peers are authenticated
+	// by keys derived from it.
+	SharedKeyFile string `yaml:"shared_key_file"`
+	// Operators lists who may sign configuration documents.
+	Operators []OperatorKey `yaml:"operators"`
+}
+
+// OperatorKey is the public key of one operator.
+type OperatorKey struct {
+	Name string `yaml:"name"`
+	// PublicKey is an Ed25519 public key in base64.
+	PublicKey string `yaml:"public_key"`
+}
+
+// TLS names the certificate files. They are read again when they change.
+type TLS struct {
+	CertificateFile string `yaml:"certificate_file"`
+	KeyFile         string `yaml:"key_file"`
+	// BackendCAFile holds the certificates that backend servers are checked
+	// against; left out, backend servers are reached by plain HTTP.
+	BackendCAFile string `yaml:"backend_ca_file" optional:"true"`
+}
+
+// Limits bounds what one caller or backend server can make an instance hold.
+type Limits struct {
+	MaxBodyBytes         int `yaml:"max_body_bytes"`
+	MaxHeaderBytes       int `yaml:"max_header_bytes"`
+	MaxConnections       int `yaml:"max_connections"`
+	MaxConnectionsPerIP  int `yaml:"max_connections_per_ip"`
+	StreamIdleMillis     int `yaml:"stream_idle_ms"`
+	ConnectTimeoutMillis int `yaml:"connect_timeout_ms"`
+}
+
+// StreamIdle returns the longest silence of a stream.
+func (l Limits) StreamIdle() time.Duration { return millis(l.StreamIdleMillis) }
+
+// ConnectTimeout returns the longest wait for a connection.
+func (l Limits) ConnectTimeout() time.Duration { return millis(l.ConnectTimeoutMillis) }
+
+// Drain says how a planned stop proceeds.
+type Drain struct {
+	// EntriesTTLMillis is how long callers may keep an entries answer.
+	EntriesTTLMillis int `yaml:"entries_ttl_ms"`
+	// LongestRequestMillis is how long a stop waits for the last request.
+	LongestRequestMillis int `yaml:"longest_request_ms"`
+}
+
+// EntriesTTL returns how long callers may keep an entries answer.
+func (d Drain) EntriesTTL() time.Duration { return millis(d.EntriesTTLMillis) }
+
+// LongestRequest returns how long a stop waits for the last request.
+func (d Drain) LongestRequest() time.Duration { return millis(d.LongestRequestMillis) }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// LoadEntry reads and checks the settings of an entry instance.
+func LoadEntry(path string) (*Entry, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, merry.Prepend(ErrUnreadable, err.Error())
+	}
+	return ParseEntry(text)
+}
+
+// ParseEntry decodes and checks the settings of an entry instance. The error
+// is a strictyaml.FieldErrors.
+func ParseEntry(text []byte) (*Entry, error) {
+	var s Entry
+	if err := strictyaml.Decode(text, &s); err != nil {
+		return nil, err
+	}
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Upper bounds of the numbers in settings.
+const (
+	maxBodyBytes   = 64 << 20
+	maxHeaderBytes = 1 << 20
+	maxConnections = 1 << 20
+	maxMillis      = 60 * 60 * 1000
+)
+
+// Validate returns nil or a strictyaml.FieldErrors that lists every fault.
+func (s *Entry) Validate() error {
+	c := &checker{}
+	c.nonEmpty("instance", s.Instance)
+	c.nonEmpty("failure_domain", s.FailureDomain)
+	c.nonEmpty("region", s.Region)
+	c.nonEmpty("keys.shared_key_file", s.Keys.SharedKeyFile)
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.metrics", s.Listen.Metrics)
+	s.Platform.validate(c)
+	c.operators("keys.operators", s.Keys.Operators)
+	c.inRange("limits.max_body_bytes", s.Limits.MaxBodyBytes, 1, maxBodyBytes)
+	c.inRange("limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1024, maxHeaderBytes)
+	c.inRange("limits.max_connections", s.Limits.MaxConnections, 1, maxConnections)
+	c.inRange("limits.max_connections_per_ip", s.Limits.MaxConnectionsPerIP, 1, maxConnections)
+	c.inRange("limits.stream_idle_ms", s.Limits.StreamIdleMillis, 1, maxMillis)
+	c.inRange("limits.connect_timeout_ms", s.Limits.ConnectTimeoutMillis, 1, maxMillis)
+	c.inRange("drain.entries_ttl_ms", s.Drain.EntriesTTLMillis, 1, maxMillis)
+	c.inRange("drain.longest_request_ms", s.Drain.LongestRequestMillis, 1, maxMillis)
+	return c.result()
+}
+
+func (p Platform) validate(c *checker) {
+	c.address("platform.log", p.Log)
+	c.address("platform.instances", p.Instances)
+	c.address("platform.ratings", p.Ratings)
+	c.address("platform.weights", p.Weights)
+}
+
+// PublicKeys returns the public keys of the operators.
+func (k Keys) PublicKeys() (signed.OperatorKeys, error) {
+	keys := signed.OperatorKeys{}
+	for _, operator := range k.Operators {
+		key, err := base64.StdEncoding.DecodeString(operator.PublicKey)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return nil, merry.Errorf("public key of operator %q is no Ed25519 key in base64; make one with medlarslip-config keygen", operator.Name)
+		}
+		keys[operator.Name] = key
+	}
+	return keys, nil
+}
+
+// checker collects the faults of one settings text.
+type checker struct {
+	errs strictyaml.FieldErrors
+}
+
+func (c *checker) fail(field, problem, remedy string) {
+	c.errs = append(c.errs, strictyaml.FieldError{Field: field, Problem: problem, Remedy: remedy})
+}
+
+func (c *checker) result() error {
+	if len(c.errs) == 0 {
+		return nil
+	}
+	return c.errs
+}
+
+func (c *checker) nonEmpty(field, value string) {
+	if value == "" {
+		c.fail(field, "is empty", "give it a value")
+	}
+}
+
+func (c *checker) address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fail(field, fmt.Sprintf("%q is no IP number and port", value), "write it like 10.0.0.7:8100")
+	}
+}
+
+func (c *checker) inRange(field string, value, low, high int) {
+	if value < low || value > high {
+		c.fail(field, fmt.Sprintf("is %d", value), fmt.Sprintf("use a number from %d to %d", low, high))
+	}
+}
+
+func (c *checker) operators(field string, operators []OperatorKey) {
+	if len(operators) == 0 {
+		c.fail(field, "is empty", "list the name and public key of at least one operator")
+	}
+	seen := map[string]bool{}
+	for i, operator := range operators {
+		if operator.Name == "" || seen[operator.Name] {
+			c.fail(fmt.Sprintf("%s[%d].name", field, i), "is empty or given twice", "give each operator a name of their own")
+		}
+		seen[operator.Name] = true
+	}
+	if _, err := (Keys{Operators: operators}).PublicKeys(); err != nil {
+		c.fail(field, err.Error(), "paste the key that medlarslip-config keygen printed")
+	}
+}
