--- /dev/null
+++ b/cmd/standin-backend/main.go
@@ -0,0 +1,62 @@
+// Command standin-backend stands in for one backend server: a model engine or
+// a plain service.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/serviceserver"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:9001", "IP number and port")
+	role := flag.String("role", "engine", "engine or service")
+	versions := flag.String("versions", "", "version IDs of an engine, separated by commas")
+	tokens := flag.Int("tokens", 40, "tokens of one answer")
+	tokenTime := flag.Duration("token-time", 5*time.Millisecond, "time between two tokens")
+	running := flag.Int("running", 32, "requests that run at once")
+	flag.Parse()
+	config := engineserver.Config{
+		Versions:   strings.Split(*versions, ","),
+		Tokens:     *tokens,
+		TokenTime:  *tokenTime,
+		MaxRunning: *running,
+		Resumable:  true,
+	}
+	if err := run(*listen, *role, config); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(listen, role string, config engineserver.Config) error {
+	handler := engineserver.New(config).Handle
+	switch role {
+	case "engine":
+	case "service":
+		handler = serviceserver.New().Handle
+	default:
+		return fmt.Errorf("-role %q is neither engine nor service", role)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	http := &fasthttp.Server{Handler: handler, CloseOnShutdown: true}
+	var group errgroup.Group
+	group.Go(func() error { return http.ListenAndServe(listen) })
+	<-ctx.Done()
+	if err := http.Shutdown(); err != nil {
+		return err
+	}
+	return group.Wait()
+}
--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,78 @@
+// Command standin-platform stands in for the platform: log service, instance
+// list, rating service and weight store in the memory of one process.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/standin/logservice"
+	"medlarslip/internal/standin/platformserver"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:8001", "IP number and port")
+	instances := flag.String("instances", "", "file with the instance list in JSON")
+	keep := flag.Int("keep", 100000, "records that each stream keeps")
+	flag.Parse()
+	if err := run(*listen, *instances, *keep); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(listen, instances string, keep int) error {
+	server := platformserver.New(logservice.New(keep), score)
+	if instances != "" {
+		list, err := readInstances(instances)
+		if err != nil {
+			return err
+		}
+		server.SetInstances(*list)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	http := &fasthttp.Server{Handler: server.Handle, CloseOnShutdown: true, MaxRequestBodySize: 64 << 20}
+	var group errgroup.Group
+	group.Go(func() error { return http.ListenAndServe(listen) })
+	<-ctx.Done()
+	if err := http.Shutdown(); err != nil {
+		return err
+	}
+	return group.Wait()
+}
+
+func readInstances(path string) (*platform.InstanceList, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var list platform.InstanceList
+	return &list, json.Unmarshal(text, &list)
+}
+
+// score rates answers of versions named large-* high, and two in three of the
+// other answers too, chosen by the prompt.
+func score(request *platform.RatingRequest) float64 {
+	const high, low, oneIn = 0.95, 0.5, 3
+	if strings.HasPrefix(request.VersionID, "large-") {
+		return high
+	}
+	digest := fnv.New32a()
+	_, _ = digest.Write([]byte(request.Prompt))
+	if digest.Sum32()%oneIn == 0 {
+		return low
+	}
+	return high
+}
--- /dev/null
+++ b/internal/coordination/dispatch/stream.go
@@ -0,0 +1,345 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"medlarslip/internal/coordination/cascade"
+	"medlarslip/internal/coordination/session"
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/protocol/refusal"
+	"medlarslip/internal/state/requests"
+)
+
+// ChatStream is a streamed answer whose first part has arrived. It belongs to
+// one goroutine, which must call Close.
+type ChatStream struct {
+	VersionID    string
+	SessionToken string
+
+	router *Router
+	run    *run
+	call   *ChatCall
+	step   cascade.Step
+	ctx    context.Context
+	caller context.Context
+	cancel context.CancelFunc
+
+	server  *acquired
+	stream  attempt.Stream
+	engine  *attempt.EngineCall
+	tries   int
+	exclude []string
+
+	pending *attempt.Chunk
+	// id is the answer's ID as the caller knows it.
+	id []byte
+	// text is what the caller was sent so far.
+	text      strings.Builder
+	chunks    int64
+	usage     *openai.Usage
+	continued bool
+	// fixed is true once the answer holds parts that its text does not
+	// show, so that it can't be continued by another engine.
+	fixed    bool
+	finished bool
+	closed   bool
+}
+
+// Stream opens a streamed answer. Until its first part has arrived another
+// server may be tried; from then on the version is settled.
+func (r *Router) Stream(ctx context.Context, call *ChatCall) (*ChatStream, *refusal.Refusal) {
+	u := r.newRun(call.RequestID, call.Request.Model, call.Kind.Name, call.Account, call.Config.Index, call.Config.Envelope.Number)
+	plan, token, refused := r.plan(call)
+	if refused != nil {
+		return nil, u.refuse(ctx, refused)
+	}
+	for i, step := range plan.Steps {
+		s, refused := r.openStream(ctx, u, call, token, step)
+		if refused == nil {
+			return s, nil
+		}
+		if i == len(plan.Steps)-1 {
+			return nil, u.refuse(ctx, refused)
+		}
+	}
+	return nil, u.refuse(ctx, refusal.New(refusal.KindInternal, "the plan has no step", "report this to the operators"))
+}
+
+func (r *Router) openStream(ctx context.Context, u *run, call *ChatCall, token session.Token, step cascade.Step) (*ChatStream, *refusal.Refusal) {
+	text, err := r.Sessions.Sign(withVersion(token, step))
+	if err != nil {
+		return nil, refusal.New(refusal.KindInternal, err.Error(), "report this to the operators")
+	}
+	s := &ChatStream{VersionID: step.VersionID, SessionToken: text, router: r, run: u, call: call, step: step, caller: ctx}
+	s.ctx, s.cancel = context.WithTimeout(ctx, time.Duration(call.Kind.TotalMillis)*time.Millisecond)
+	if err := s.first(); err != nil {
+		refused := stepRefusal(s.ctx, step.VersionID, err)
+		s.abandon()
+		return nil, refused
+	}
+	return s, nil
+}
+
+// first opens the stream on one server after another until a first part has
+// arrived. The error is of one of the kinds of package attempt.
+func (s *ChatStream) first() error {
+	wait := time.Duration(s.call.Kind.FirstTokenMillis) * time.Millisecond
+	timer := time.AfterFunc(wait, s.cancel)
+	defer timer.Stop()
+	lastErr := attempt.ErrNoServer
+	for s.tries < maxAttempts && s.ctx.Err() == nil {
+		err := s.connect(s.call.Body)
+		if errors.Is(err, attempt.ErrNoServer) {
+			break
+		}
+		if err == nil {
+			s.pending, err = s.stream.Next()
+		}
+		if err == nil {
+			s.id = []byte(s.pending.Parsed.ID)
+			return nil
+		}
+		lastErr = err
+		s.giveUpServer(err)
+	}
+	return lastErr
+}
+
+// connect opens the stream on a server that has not failed this request.
+func (s *ChatStream) connect(body map[string]json.RawMessage) error {
+	s.server = s.router.acquire(s.run, s.step.VersionID, s.exclude)
+	if s.server == nil {
+		return attempt.ErrNoServer
+	}
+	s.tries++
+	s.engine = newEngineCall(s.call, s.step.VersionID, s.server.address, s.tries)
+	s.engine.Body = body
+	stream, err := s.router.Engines.Open(s.ctx, s.engine, 0)
+	if err != nil {
+		return err
+	}
+	s.stream = stream
+	return nil
+}
+
+// giveUpServer ends the call on the server and keeps it from being tried
+// again by this request.
+func (s *ChatStream) giveUpServer(err error) {
+	s.run.noteFailure(err)
+	s.run.attempted(resultOf(err))
+	if s.server == nil {
+		return
+	}
+	s.exclude = append(s.exclude, s.server.id)
+	s.closeStream()
+	s.router.release(s.server, false)
+	s.server = nil
+}
+
+func (s *ChatStream) closeStream() {
+	if s.stream != nil {
+		s.stream.Close()
+		s.stream = nil
+	}
+}
+
+// Next returns the JSON text of the next part. io.EOF comes only at the end
+// of a whole answer; any other error is a *refusal.Refusal.
+func (s *ChatStream) Next() ([]byte, error) {
+	for {
+		chunk, err := s.take()
+		if errors.Is(err, io.EOF) {
+			return nil, s.end()
+		}
+		if err != nil {
+			if err := s.recover(err); err != nil {
+				return nil, s.broken(err)
+			}
+			continue
+		}
+		if s.repeatsRole(chunk) {
+			continue
+		}
+		s.note(chunk)
+		return s.withID(chunk), nil
+	}
+}
+
+func (s *ChatStream) take() (*attempt.Chunk, error) {
+	if chunk := s.pending; chunk != nil {
+		s.pending = nil
+		return chunk, nil
+	}
+	return s.stream.Next()
+}
+
+// end accepts the end mark only after a finish reason.
+func (s *ChatStream) end() error {
+	if !s.finished {
+		return s.broken(attempt.ErrBroken)
+	}
+	s.router.release(s.server, true)
+	s.server = nil
+	s.run.attempted(outcomeAnswered)
+	s.settle(stepAccepted)
+	s.run.finish(s.caller, outcomeAnswered, "")
+	s.closed = true
+	return io.EOF
+}
+
+// note remembers what the caller is sent.
+func (s *ChatStream) note(chunk *attempt.Chunk) {
+	s.chunks++
+	if chunk.Parsed.Usage != nil {
+		s.usage = chunk.Parsed.Usage
+	}
+	for _, choice := range chunk.Parsed.Choices {
+		s.text.WriteString(choice.Delta.Content)
+		s.fixed = s.fixed || choice.Index > 0 || len(choice.Delta.ToolCalls) > 0
+		s.finished = s.finished || choice.FinishReason != nil
+	}
+}
+
+// repeatsRole reports whether a part only opens a continued answer again.
+func (s *ChatStream) repeatsRole(chunk *attempt.Chunk) bool {
+	if !s.continued || chunk.Parsed.Usage != nil || len(chunk.Parsed.Choices) != 1 {
+		return false
+	}
+	choice := chunk.Parsed.Choices[0]
+	return choice.Delta.Content == "" && choice.FinishReason == nil && len(choice.Delta.ToolCalls) == 0
+}
+
+// withID returns the text of a part under the ID that the caller knows.
+func (s *ChatStream) withID(chunk *attempt.Chunk) []byte {
+	if string(s.id) == chunk.Parsed.ID {
+		return chunk.Data
+	}
+	return bytes.Replace(chunk.Data, []byte(chunk.Parsed.ID), s.id, 1)
+}
+
+// recover goes on with a broken answer: on the same server behind the last
+// event where the engine numbers its events, or on another server of the same
+// version from the text that the caller has. It returns the error that the
+// stream ends with where neither succeeds.
+func (s *ChatStream) recover(err error) error {
+	if s.ctx.Err() == nil && s.resume() {
+		return nil
+	}
+	s.giveUpServer(err)
+	for s.ctx.Err() == nil && !s.fixed && !s.finished && s.tries < maxAttempts {
+		regenerateErr := s.regenerate()
+		if regenerateErr == nil {
+			return nil
+		}
+		if errors.Is(regenerateErr, attempt.ErrNoServer) {
+			break
+		}
+		s.giveUpServer(regenerateErr)
+	}
+	return err
+}
+
+func (s *ChatStream) resume() bool {
+	after := s.stream.LastEvent()
+	if after == 0 || s.tries >= maxAttempts {
+		return false
+	}
+	s.tries++
+	stream, err := s.router.Engines.Open(s.ctx, s.engine, after)
+	if err != nil {
+		return false
+	}
+	s.stream.Close()
+	s.stream = stream
+	return true
+}
+
+func (s *ChatStream) regenerate() error {
+	body, err := continuation(s.call, s.text.String())
+	if err != nil {
+		return attempt.ErrRejected
+	}
+	s.continued = true
+	return s.connect(body)
+}
+
+// continuation returns the request for the rest of an answer: the messages
+// with the part that the caller has as an unfinished last message, in the
+// fields that engines publish for it.
+func continuation(call *ChatCall, text string) (map[string]json.RawMessage, error) {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(call.Body["messages"], &messages); err != nil {
+		return nil, err
+	}
+	partial, err := json.Marshal(openai.AnswerMessage{Role: "assistant", Content: text})
+	if err != nil {
+		return nil, err
+	}
+	all, err := json.Marshal(append(messages, partial))
+	if err != nil {
+		return nil, err
+	}
+	body := make(map[string]json.RawMessage, len(call.Body)+3)
+	for key, value := range call.Body {
+		body[key] = value
+	}
+	body["messages"] = all
+	body["continue_final_message"] = json.RawMessage("true")
+	body["add_generation_prompt"] = json.RawMessage("false")
+	return body, nil
+}
+
+// broken ends a stream that can't be made whole.
+func (s *ChatStream) broken(err error) error {
+	refused := stepRefusal(s.ctx, s.step.VersionID, err)
+	refused.RequestID = s.call.RequestID
+	refused.Outcome = refusal.Unknown
+	s.finishUnknown(refused.Message)
+	return refused
+}
+
+func (s *ChatStream) finishUnknown(reason string) {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.settle(stepFailed)
+	s.run.finish(s.caller, string(refusal.Unknown), reason)
+}
+
+// settle notes the step with what was generated so far.
+func (s *ChatStream) settle(result string) {
+	tokens := s.chunks
+	if s.usage != nil && !s.continued {
+		tokens = s.usage.TotalTokens
+	}
+	s.run.stepDone(requests.Step{VersionID: s.step.VersionID, Rollout: s.step.Rollout, Result: result, Micros: s.run.micros(s.step.VersionID, tokens)}, tokens)
+	s.router.Learner.Observe(&Sample{
+		Account: s.call.Account.Name, Kind: s.call.Kind.Name, Model: s.step.Model,
+		VersionID: s.step.VersionID, Rollout: s.step.Rollout, Failed: result == stepFailed,
+	})
+}
+
+// abandon frees what the stream holds.
+func (s *ChatStream) abandon() {
+	s.closeStream()
+	if s.server != nil {
+		s.router.release(s.server, true)
+		s.server = nil
+	}
+	s.cancel()
+}
+
+// Close ends the stream. One that was not read to its end is cancelled at the
+// engine and billed for what was generated.
+func (s *ChatStream) Close() {
+	s.abandon()
+	s.finishUnknown("the caller went away")
+}
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -78,6 +78,9 @@
 type Delta struct {
 	Role    string `json:"role,omitempty"`
 	Content string `json:"content,omitempty"`
+	// ToolCalls is passed on as it is; a stream that holds any can't be
+	// continued from its text.
+	ToolCalls json.RawMessage `json:"tool_calls,omitempty"`
 }
 
 // ModelList is the answer of ModelsPath.
--- a/internal/protocol/records/records.go
+++ b/internal/protocol/records/records.go
@@ -14,15 +14,13 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-// Configuration is a record of the configuration stream: either a newly
-// published document or, with Snapshot set, the repeat of an accepted one
-// that is appended before retention removes it.
+// Configuration is a record of the configuration stream.
 type Configuration struct {
 	Writer   Writer          `json:"writer"`
 	Envelope signed.Envelope `json:"envelope"`
-	// Snapshot is the number of the accepted document that this record
-	// repeats; 0 on a newly published document.
-	Snapshot int64 `json:"snapshot,omitempty"`
+	// Snapshot marks the repeat of an accepted document, which is appended
+	// before retention removes the record that it repeats.
+	Snapshot bool `json:"snapshot,omitempty"`
 }
 
 // Audit is a record of the audit stream: one automatic change.
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -18,7 +18,7 @@
 
 // ErrUnreadable is the kind of error of a settings or key file that cannot be
 // read.
-var ErrUnreadable = merry.New("file cannot be read; check its path and that this user may read it")
+var ErrUnreadable = merry.Sentinel("file cannot be read; check its path and that this user may read it")
 
 // Entry is the settings of an entry instance.
 type Entry struct {
--- a/internal/protocol/signed/signed.go
+++ b/internal/protocol/signed/signed.go
@@ -15,9 +15,9 @@
 // Kinds of error.
 var (
 	// ErrUnknownOperator means that no public key is known for the operator.
-	ErrUnknownOperator = merry.New("operator is unknown; add its public key to the settings of every instance")
+	ErrUnknownOperator = merry.Sentinel("operator is unknown; add its public key to the settings of every instance")
 	// ErrBadSignature means that the signature does not match the content.
-	ErrBadSignature = merry.New("signature does not match; sign the document again with the operator's own key")
+	ErrBadSignature = merry.Sentinel("signature does not match; sign the document again with the operator's own key")
 )
 
 // signingContext separates these signatures from any other use of a key.
@@ -28,6 +28,8 @@
 	// BaseHash is the hash of the envelope this one was made from; empty for
 	// the first document of a fleet.
 	BaseHash string `json:"base_hash"`
+	// Number counts the documents of a fleet: one more than that of the base.
+	Number int64 `json:"number"`
 	// Operator names the person who signed.
 	Operator string `json:"operator"`
 	// Reason says why the change was made.
--- a/internal/protocol/strictyaml/strictyaml.go
+++ b/internal/protocol/strictyaml/strictyaml.go
@@ -17,7 +17,7 @@
 )
 
 // ErrInvalid is the kind of every error of this package.
-var ErrInvalid = merry.New("YAML text is invalid")
+var ErrInvalid = merry.Sentinel("YAML text is invalid")
 
 // FieldError says what is wrong with one field and how to mend it.
 type FieldError struct {
--- /dev/null
+++ b/internal/standin/logservice/logservice.go
@@ -0,0 +1,183 @@
+// Package logservice is a stand-in for the platform's log service: streams in
+// memory with offsets, limited retention and faults on demand.
+package logservice
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/protocol/platform"
+)
+
+// Fault is what happens to one call.
+type Fault int
+
+const (
+	// FaultNone lets the call through.
+	FaultNone Fault = iota
+	// FaultRefuse fails the call without effect.
+	FaultRefuse
+	// FaultLoseAnswer lets an append take effect and loses its answer.
+	FaultLoseAnswer
+	// FaultLoseRequest loses an append before its effect, in such a way that
+	// the writer can't know.
+	FaultLoseRequest
+)
+
+// Service is an in-memory log service. It implements eventlog.Log.
+type Service struct {
+	mu      sync.Mutex
+	streams map[string]*stream
+	keep    int
+	// onAppend and onRead choose the fault of each call; nil means none.
+	onAppend func(stream string, records []json.RawMessage) Fault
+	onRead   func(stream string, from int64) Fault
+	appends  int
+}
+
+type stream struct {
+	oldest  int64
+	records []json.RawMessage
+	changed chan struct{}
+}
+
+var _ eventlog.Log = (*Service)(nil)
+
+// New returns an empty service that keeps the last keep records of each
+// stream; 0 keeps all.
+func New(keep int) *Service {
+	return &Service{streams: map[string]*stream{}, keep: keep}
+}
+
+// OnAppend sets the function that chooses the fault of each append.
+func (s *Service) OnAppend(fault func(stream string, records []json.RawMessage) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onAppend = fault
+}
+
+// OnRead sets the function that chooses the fault of each read.
+func (s *Service) OnRead(fault func(stream string, from int64) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onRead = fault
+}
+
+// SetOutage refuses all calls while down is true.
+func (s *Service) SetOutage(down bool) {
+	if !down {
+		s.OnAppend(nil)
+		s.OnRead(nil)
+		return
+	}
+	s.OnAppend(func(string, []json.RawMessage) Fault { return FaultRefuse })
+	s.OnRead(func(string, int64) Fault { return FaultRefuse })
+}
+
+// Appends returns how many appends took effect.
+func (s *Service) Appends() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
+
+// Append implements eventlog.Log.
+func (s *Service) Append(_ context.Context, name string, records []json.RawMessage) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := FaultNone
+	if s.onAppend != nil {
+		fault = s.onAppend(name, records)
+	}
+	switch fault {
+	case FaultRefuse:
+		return 0, merry.Prepend(eventlog.ErrNotAppended, "outage")
+	case FaultLoseRequest:
+		return 0, merry.Prepend(eventlog.ErrAppendUnknown, "request lost")
+	}
+	first := s.appendLocked(name, records)
+	if fault == FaultLoseAnswer {
+		return 0, merry.Prepend(eventlog.ErrAppendUnknown, "answer lost")
+	}
+	return first, nil
+}
+
+func (s *Service) appendLocked(name string, records []json.RawMessage) int64 {
+	st := s.streamLocked(name)
+	first := st.next()
+	for _, record := range records {
+		st.records = append(st.records, append(json.RawMessage(nil), record...))
+	}
+	if surplus := len(st.records) - s.keep; s.keep > 0 && surplus > 0 {
+		st.records = append([]json.RawMessage(nil), st.records[surplus:]...)
+		st.oldest += int64(surplus)
+	}
+	s.appends++
+	close(st.changed)
+	st.changed = make(chan struct{})
+	return first
+}
+
+// Trim removes all records of a stream below an offset, as retention does.
+func (s *Service) Trim(name string, below int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streamLocked(name)
+	count := min(max(below-st.oldest, 0), int64(len(st.records)))
+	st.records = st.records[count:]
+	st.oldest += count
+}
+
+// Read implements eventlog.Log.
+func (s *Service) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (*platform.ReadResponse, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := s.readNow(name, from, limit)
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return nil, merry.Prepend(eventlog.ErrUnavailable, ctx.Err().Error())
+		}
+	}
+}
+
+func (s *Service) readNow(name string, from int64, limit int) (*platform.ReadResponse, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.onRead != nil && s.onRead(name, from) != FaultNone {
+		return nil, nil, merry.Prepend(eventlog.ErrUnavailable, "outage")
+	}
+	st := s.streamLocked(name)
+	first := min(max(from, st.oldest), st.next())
+	records := st.records[first-st.oldest:]
+	records = records[:min(len(records), limit)]
+	page := &platform.ReadResponse{
+		Oldest:      st.oldest,
+		Next:        st.next(),
+		FirstOffset: first,
+		Records:     append([]json.RawMessage(nil), records...),
+	}
+	return page, st.changed, nil
+}
+
+func (s *Service) streamLocked(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = &stream{changed: make(chan struct{})}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (st *stream) next() int64 { return st.oldest + int64(len(st.records)) }
--- /dev/null
+++ b/internal/state/backends/backends.go
@@ -0,0 +1,174 @@
+// Package backends holds what an entry instance knows of the backend servers.
+// Each server has its own lock; the lists by target are replaced as a whole,
+// so that a request takes no lock that all requests share.
+package backends
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"medlarslip/internal/protocol/platform"
+)
+
+// Server is the description of one backend server.
+type Server struct {
+	ID            string
+	Address       string
+	Role          platform.Role
+	Serves        []string
+	FailureDomain string
+	Leaving       bool
+	// Incarnation changes with every start of the server.
+	Incarnation string
+}
+
+// Load is what a backend server reported of itself.
+type Load struct {
+	Running int
+	Waiting int
+	// CacheUse is the share of the KV cache in use, 0 to 1.
+	CacheUse float64
+	// ReadAt is when the report was read, on the monotonic clock.
+	ReadAt time.Time
+}
+
+// Backend is one backend server with the state that this instance keeps.
+type Backend struct {
+	mu       sync.Mutex
+	server   Server
+	load     Load
+	inFlight int
+	answered int
+	failures int
+	latency  time.Duration
+}
+
+// Snapshot is a copy of the state of a Backend at one moment.
+type Snapshot struct {
+	Server   Server
+	Load     Load
+	InFlight int
+	// Answered counts good answers since the server started.
+	Answered int
+	// Failures counts failed calls since the last good answer.
+	Failures int
+	// Latency is a moving mean of the time to a good answer.
+	Latency time.Duration
+}
+
+// Snapshot returns a copy of the current state.
+func (b *Backend) Snapshot() Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Snapshot{
+		Server:   b.server,
+		Load:     b.load,
+		InFlight: b.inFlight,
+		Answered: b.answered,
+		Failures: b.failures,
+		Latency:  b.latency,
+	}
+}
+
+// Begin counts one more call in flight, unless limit or more are already; a
+// limit of 0 or less means none.
+func (b *Backend) Begin(limit int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limit > 0 && b.inFlight >= limit {
+		return false
+	}
+	b.inFlight++
+	return true
+}
+
+// latencyWeight is the weight of a new value in the moving mean of latency.
+const latencyWeight = 0.2
+
+// End counts one call less in flight and notes how it went.
+func (b *Backend) End(took time.Duration, good bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight--
+	if !good {
+		b.failures++
+		return
+	}
+	b.failures = 0
+	b.answered++
+	if b.latency == 0 {
+		b.latency = took
+		return
+	}
+	b.latency += time.Duration(latencyWeight * float64(took-b.latency))
+}
+
+// SetLoad notes a load report.
+func (b *Backend) SetLoad(load Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load = load
+}
+
+// update takes over a new description. A new incarnation starts cold.
+func (b *Backend) update(server Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server.Incarnation != server.Incarnation {
+		b.answered, b.failures, b.latency, b.load = 0, 0, 0, Load{}
+	}
+	b.server = server
+}
+
+// Table holds all backend servers.
+type Table struct {
+	mu       sync.Mutex
+	byID     map[string]*Backend
+	byTarget atomic.Pointer[map[string][]*Backend]
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{byID: map[string]*Backend{}}
+	t.byTarget.Store(&map[string][]*Backend{})
+	return t
+}
+
+// Apply replaces the list of servers. Servers that stay keep their state.
+func (t *Table) Apply(servers []Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byID := make(map[string]*Backend, len(servers))
+	byTarget := map[string][]*Backend{}
+	for _, server := range servers {
+		backend, ok := t.byID[server.ID]
+		if !ok {
+			backend = &Backend{}
+		}
+		backend.update(server)
+		byID[server.ID] = backend
+		for _, target := range server.Serves {
+			byTarget[target] = append(byTarget[target], backend)
+		}
+	}
+	t.byID = byID
+	t.byTarget.Store(&byTarget)
+}
+
+// Serving returns the servers of a version or plain service. The slice must
+// not be changed.
+func (t *Table) Serving(target string) []*Backend {
+	return (*t.byTarget.Load())[target]
+}
+
+// All returns all servers.
+func (t *Table) All() []*Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*Backend, 0, len(t.byID))
+	for _, backend := range t.byID {
+		all = append(all, backend)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/transport/callerapi/chat.go
@@ -0,0 +1,140 @@
+package callerapi
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/coordination/dispatch"
+	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/protocol/refusal"
+)
+
+func retryAfterSeconds(refused *refusal.Refusal) string {
+	wait := time.Duration(refused.RetryAfterMillis) * time.Millisecond
+	return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
+}
+
+func (s *Server) chat(ctx *fasthttp.RequestCtx, requestID string) *refusal.Refusal {
+	c, refused := s.authenticate(ctx)
+	if refused != nil {
+		return refused
+	}
+	call, refused := decodeChat(ctx, c, requestID)
+	if refused != nil {
+		return refused
+	}
+	if call.Request.Stream {
+		return s.streamChat(ctx, call)
+	}
+	result, refused := s.Router.Chat(callContext(), call)
+	if refused != nil {
+		return refused
+	}
+	setAnswerHeaders(ctx, result.VersionID, result.SessionToken)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(result.Body)
+	return nil
+}
+
+// decodeChat copies what it keeps of the request, since fasthttp uses its
+// buffers again.
+func decodeChat(ctx *fasthttp.RequestCtx, c *caller, requestID string) (*dispatch.ChatCall, *refusal.Refusal) {
+	kind, refused := c.kind(ctx)
+	if refused != nil {
+		return nil, refused
+	}
+	call := &dispatch.ChatCall{
+		RequestID:    requestID,
+		Config:       c.config,
+		Account:      c.account,
+		Kind:         kind,
+		SessionToken: string(ctx.Request.Header.Peek(HeaderSessionToken)),
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	if err := json.Unmarshal(body, &call.Body); err != nil {
+		return nil, badBody(err)
+	}
+	if err := json.Unmarshal(body, &call.Request); err != nil {
+		return nil, badBody(err)
+	}
+	if call.Request.Model == "" {
+		return nil, refusal.New(refusal.KindBadRequest, "field model is missing", "name a model that GET /v1/models lists")
+	}
+	if len(call.Request.Messages) == 0 {
+		return nil, refusal.New(refusal.KindBadRequest, "field messages is empty", "send at least one message")
+	}
+	return call, nil
+}
+
+func badBody(err error) *refusal.Refusal {
+	return refusal.New(refusal.KindBadRequest, "the body is no chat completion request: "+err.Error(), "send a JSON object with model and messages")
+}
+
+func setAnswerHeaders(ctx *fasthttp.RequestCtx, versionID, sessionToken string) {
+	ctx.Response.Header.Set(HeaderVersion, versionID)
+	ctx.Response.Header.Set(HeaderSessionToken, sessionToken)
+}
+
+func (s *Server) streamChat(ctx *fasthttp.RequestCtx, call *dispatch.ChatCall) *refusal.Refusal {
+	stream, refused := s.Router.Stream(callContext(), call)
+	if refused != nil {
+		return refused
+	}
+	setAnswerHeaders(ctx, stream.VersionID, stream.SessionToken)
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer stream.Close()
+		relay(w, stream)
+	})
+	return nil
+}
+
+// relay passes a stream on, one event at a time. A failed write means that
+// the caller went away.
+func relay(w *bufio.Writer, stream *dispatch.ChatStream) {
+	for {
+		data, err := stream.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			_ = writeEvent(w, []byte(openai.DoneMark))
+			return
+		case err != nil:
+			writeStreamRefusal(w, err)
+			return
+		}
+		if err := writeEvent(w, data); err != nil {
+			return
+		}
+	}
+}
+
+// writeStreamRefusal ends a stream that can't be made whole by an event that
+// holds the refusal; the end mark is left out.
+func writeStreamRefusal(w *bufio.Writer, err error) {
+	var refused *refusal.Refusal
+	if !errors.As(err, &refused) {
+		refused = refusal.NewUnknown(refusal.KindInternal, err.Error(), "ask again")
+	}
+	refusalCount.Add(string(refused.Kind), 1)
+	_ = writeEvent(w, refusal.Encode(refused))
+}
+
+func writeEvent(w *bufio.Writer, data []byte) error {
+	if _, err := w.WriteString("data: "); err != nil {
+		return err
+	}
+	if _, err := w.Write(data); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\n\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/transport/callerapi/server.go
@@ -0,0 +1,202 @@
+// Package callerapi serves the callers' interface: the OpenAI chat
+// completions API, calls of plain services by name, and the call that answers
+// which entry instances to use.
+package callerapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"expvar"
+	"strings"
+	"time"
+
+	"github.com/rs/xid"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/coordination/dispatch"
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/entries"
+	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/protocol/refusal"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderVersion      = "X-Medlarslip-Version"
+	HeaderSessionToken = "X-Medlarslip-Session"
+	HeaderKind         = "X-Medlarslip-Kind"
+	HeaderKey          = "Idempotency-Key"
+)
+
+// ServicePathPrefix is followed by the name of a plain service and the path
+// of the call.
+const ServicePathPrefix = "/v1/services/"
+
+// EntriesSource answers which entry instances callers may use.
+type EntriesSource interface {
+	Entries() entries.Answer
+}
+
+// Server answers callers. Its fields must be set before the first request.
+type Server struct {
+	Router  *dispatch.Router
+	Config  *configuration.Store
+	Entries EntriesSource
+	// Closing reports whether connections should end after their request.
+	Closing func() bool
+}
+
+// Counters of this package.
+var (
+	requestCount = expvar.NewMap("caller_requests")
+	refusalCount = expvar.NewMap("caller_refusals")
+)
+
+const noConfigurationRetry = time.Second
+
+// Handle is the fasthttp handler of the callers' interface.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	if s.Closing != nil && s.Closing() {
+		ctx.SetConnectionClose()
+	}
+	requestID := xid.New().String()
+	ctx.Response.Header.Set(HeaderRequestID, requestID)
+	defer s.recoverPanic(ctx, requestID)
+	if refused := s.route(ctx, requestID); refused != nil {
+		writeRefusal(ctx, refused, requestID)
+	}
+}
+
+// recoverPanic keeps a fault in one request from ending the process.
+func (s *Server) recoverPanic(ctx *fasthttp.RequestCtx, requestID string) {
+	if fault := recover(); fault != nil {
+		logrus.WithField("request_id", requestID).Errorf("request failed by a fault of the program: %v", fault)
+		writeRefusal(ctx, refusal.NewUnknown(refusal.KindInternal, "internal error", "report the request ID to the operators"), requestID)
+	}
+}
+
+func (s *Server) route(ctx *fasthttp.RequestCtx, requestID string) *refusal.Refusal {
+	path := string(ctx.Path())
+	switch {
+	case path == entries.Path && ctx.IsGet():
+		requestCount.Add("entries", 1)
+		return writeJSON(ctx, s.Entries.Entries())
+	case path == openai.ModelsPath && ctx.IsGet():
+		requestCount.Add("models", 1)
+		return s.models(ctx)
+	case path == openai.ChatCompletionsPath && ctx.IsPost():
+		requestCount.Add("chat", 1)
+		return s.chat(ctx, requestID)
+	case strings.HasPrefix(path, ServicePathPrefix):
+		requestCount.Add("service", 1)
+		return s.service(ctx, requestID, strings.TrimPrefix(path, ServicePathPrefix))
+	default:
+		return refusal.New(refusal.KindBadRequest, "no such call: "+string(ctx.Method())+" "+path, "use a call of the callers' page")
+	}
+}
+
+// caller is an authenticated caller under the configuration in force.
+type caller struct {
+	config  *configuration.InForce
+	account *document.ClientAccount
+}
+
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (*caller, *refusal.Refusal) {
+	config := s.Config.Current()
+	if config == nil {
+		return nil, refusal.New(refusal.KindNoConfiguration, "this instance has no configuration yet", "ask again, or use another entry").After(noConfigurationRetry)
+	}
+	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	if !ok {
+		return nil, refusal.New(refusal.KindUnauthenticated, "no API key", "send it as Authorization: Bearer KEY")
+	}
+	sum := sha256.Sum256([]byte(key))
+	account := config.Index.AccountByKeyHash(hex.EncodeToString(sum[:]))
+	if account == nil {
+		return nil, refusal.New(refusal.KindUnauthenticated, "the API key is unknown", "use a key of your client account")
+	}
+	return &caller{config: config, account: account}, nil
+}
+
+// kind returns the kind of request that the caller names, or its default.
+func (c *caller) kind(ctx *fasthttp.RequestCtx) (*document.Kind, *refusal.Refusal) {
+	name := string(ctx.Request.Header.Peek(HeaderKind))
+	if name == "" {
+		name = c.account.DefaultKind
+	}
+	kind := c.config.Index.Kind(name)
+	if kind == nil {
+		return nil, refusal.New(refusal.KindBadRequest, "no kind "+name, "leave out "+HeaderKind+" or name a kind of the configuration")
+	}
+	return kind, nil
+}
+
+func (s *Server) models(ctx *fasthttp.RequestCtx) *refusal.Refusal {
+	c, refused := s.authenticate(ctx)
+	if refused != nil {
+		return refused
+	}
+	return writeJSON(ctx, listModels(c))
+}
+
+// listModels lists the cascades and versions that the client account may use.
+func listModels(c *caller) openai.ModelList {
+	list := openai.ModelList{Object: "list", Data: []openai.Model{}}
+	add := func(id string) {
+		list.Data = append(list.Data, openai.Model{ID: id, Object: "model", OwnedBy: "medlarslip"})
+	}
+	for _, cascade := range c.config.Index.Document().Cascades {
+		if mayUse(c, &cascade) {
+			add(cascade.Name)
+		}
+	}
+	for _, id := range c.account.AllowedVersions {
+		if !c.config.Index.Version(id).Withdrawn {
+			add(id)
+		}
+	}
+	return list
+}
+
+func mayUse(c *caller, cascade *document.Cascade) bool {
+	for _, id := range c.account.AllowedVersions {
+		model := c.config.Index.ModelOf(id)
+		for _, step := range cascade.Steps {
+			if step == model.Name && !c.config.Index.Version(id).Withdrawn {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) *refusal.Refusal {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return refusal.NewUnknown(refusal.KindInternal, err.Error(), "report this to the operators")
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+	return nil
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, refused *refusal.Refusal, requestID string) {
+	refused.RequestID = requestID
+	refusalCount.Add(string(refused.Kind), 1)
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(refused.Status())
+	ctx.SetContentType("application/json")
+	if refused.RetryAfterMillis > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds(refused))
+	}
+	ctx.SetBody(refusal.Encode(refused))
+}
+
+// callContext is the context of one request. fasthttp does not report that a
+// caller hung up, so it ends with the request's own time only.
+func callContext() context.Context { return context.Background() }
--- /dev/null
+++ b/internal/transport/callerapi/service.go
@@ -0,0 +1,65 @@
+package callerapi
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/coordination/dispatch"
+	"medlarslip/internal/protocol/refusal"
+)
+
+const maxKeyBytes = 256
+
+func (s *Server) service(ctx *fasthttp.RequestCtx, requestID, rest string) *refusal.Refusal {
+	c, refused := s.authenticate(ctx)
+	if refused != nil {
+		return refused
+	}
+	call, refused := decodeService(ctx, c, requestID, rest)
+	if refused != nil {
+		return refused
+	}
+	answer, refused := s.Router.Plain(callContext(), call)
+	if refused != nil {
+		return refused
+	}
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.ContentType)
+	ctx.SetBody(answer.Body)
+	return nil
+}
+
+func decodeService(ctx *fasthttp.RequestCtx, c *caller, requestID, rest string) (*dispatch.PlainCall, *refusal.Refusal) {
+	name, path, _ := strings.Cut(rest, "/")
+	path = "/" + path
+	service := c.config.Index.Service(name)
+	if service == nil {
+		return nil, refusal.New(refusal.KindUnknownService, "no service "+name, "use the name of a service of the configuration")
+	}
+	if !slices.Contains(c.account.AllowedServices, name) {
+		return nil, refusal.New(refusal.KindNotAllowed, "client account "+c.account.Name+" may not call "+name, "ask the operators to allow it")
+	}
+	// A path in another form than the one compared with the patterns could
+	// reach a call that may not be repeated.
+	if string(ctx.URI().PathOriginal()) != ServicePathPrefix+name+path {
+		return nil, refusal.New(refusal.KindBadRequest, "the path is not in its normal form", "write it without escapes, dots and doubled slashes")
+	}
+	key := string(ctx.Request.Header.Peek(HeaderKey))
+	if len(key) > maxKeyBytes {
+		return nil, refusal.New(refusal.KindBadRequest, "the Idempotency-Key is too long", "use at most 256 bytes")
+	}
+	return &dispatch.PlainCall{
+		RequestID:   requestID,
+		Config:      c.config,
+		Account:     c.account,
+		Service:     service,
+		Method:      string(ctx.Method()),
+		Path:        path,
+		Query:       string(ctx.URI().QueryString()),
+		ContentType: string(ctx.Request.Header.ContentType()),
+		Body:        append([]byte(nil), ctx.PostBody()...),
+		Key:         key,
+	}, nil
+}
--- /dev/null
+++ b/internal/transport/engine/engine.go
@@ -0,0 +1,147 @@
+// Package engine calls OpenAI-compatible model engines. It checks that every
+// answer is whole and belongs to its attempt.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/transport/httpconn"
+)
+
+// Headers of a call.
+const (
+	// HeaderRequestID carries the attempt ID, which the engine repeats.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderPriority carries the priority of the request.
+	HeaderPriority = "X-Request-Priority"
+	// HeaderLastEventID resumes a stream after the given event, as in the
+	// server-sent events of the HTML standard.
+	HeaderLastEventID = "Last-Event-ID"
+)
+
+// Client implements attempt.Engines. It is safe for concurrent use.
+type Client struct {
+	pool *httpconn.Pool
+}
+
+var _ attempt.Engines = (*Client)(nil)
+
+// New returns a client that uses the connections of pool.
+func New(pool *httpconn.Pool) *Client { return &Client{pool: pool} }
+
+// Complete asks for a whole answer. The error is of one of the kinds of
+// package attempt.
+func (c *Client) Complete(ctx context.Context, call *attempt.EngineCall) (*attempt.Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := prepare(req, call, false); err != nil {
+		return nil, err
+	}
+	if err := c.pool.Do(ctx, call.Address, req, resp, httpconn.ReuseIdle); err != nil {
+		return nil, callError(err)
+	}
+	if err := statusError(resp); err != nil {
+		return nil, err
+	}
+	return checkWhole(call, resp)
+}
+
+func prepare(req *fasthttp.Request, call *attempt.EngineCall, stream bool) error {
+	body := make(map[string]json.RawMessage, len(call.Body)+3)
+	for key, value := range call.Body {
+		body[key] = value
+	}
+	body["model"] = quote(call.VersionID)
+	body["stream"] = json.RawMessage(strconv.FormatBool(stream))
+	body["priority"] = json.RawMessage(strconv.Itoa(call.Priority))
+	if stream {
+		body["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return merry.Prepend(attempt.ErrRejected, err.Error())
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + call.Address + openai.ChatCompletionsPath)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(HeaderRequestID, call.AttemptID)
+	req.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
+	req.SetBodyRaw(text)
+	return nil
+}
+
+func quote(text string) json.RawMessage {
+	quoted, _ := json.Marshal(text) // strings always encode
+	return quoted
+}
+
+func callError(err error) error {
+	if httpconn.MayHaveRun(err) {
+		return merry.Prepend(attempt.ErrBroken, err.Error())
+	}
+	return merry.Prepend(attempt.ErrUnreachable, err.Error())
+}
+
+func statusError(resp *fasthttp.Response) error {
+	status := resp.StatusCode()
+	switch {
+	case status == fasthttp.StatusOK:
+		return nil
+	case status == fasthttp.StatusTooManyRequests, status == fasthttp.StatusServiceUnavailable:
+		return merry.Prependf(attempt.ErrBusy, "status %d", status)
+	case status >= 400 && status < 500:
+		return merry.Prependf(attempt.ErrRejected, "status %d", status)
+	default:
+		return merry.Prependf(attempt.ErrBroken, "status %d", status)
+	}
+}
+
+// checkWhole checks length, end mark, version and attempt of an answer.
+func checkWhole(call *attempt.EngineCall, resp *fasthttp.Response) (*attempt.Answer, error) {
+	answer := &attempt.Answer{Body: bytes.Clone(resp.Body())}
+	if err := json.Unmarshal(answer.Body, &answer.Parsed); err != nil {
+		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
+	}
+	if err := checkAttempt(call, string(resp.Header.Peek(HeaderRequestID)), answer.Parsed.ID); err != nil {
+		return nil, err
+	}
+	if err := checkModel(call, answer.Parsed.Model); err != nil {
+		return nil, err
+	}
+	if len(answer.Parsed.Choices) == 0 {
+		return nil, merry.Prepend(attempt.ErrBroken, "answer has no choice")
+	}
+	for _, choice := range answer.Parsed.Choices {
+		if choice.FinishReason == "" {
+			return nil, merry.Prepend(attempt.ErrBroken, "answer has no finish reason")
+		}
+	}
+	return answer, nil
+}
+
+// checkAttempt accepts an answer whose header or ID names the attempt.
+func checkAttempt(call *attempt.EngineCall, header, id string) error {
+	if header == call.AttemptID || header == "" && strings.HasSuffix(id, call.AttemptID) {
+		return nil
+	}
+	return merry.Prepend(attempt.ErrBroken, fmt.Sprintf("answer %q belongs to another attempt than %s", id, call.AttemptID))
+}
+
+func checkModel(call *attempt.EngineCall, model string) error {
+	if model != call.VersionID {
+		return merry.Prependf(attempt.ErrBroken, "answer is by version %q instead of %q", model, call.VersionID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/engine/stream.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/tmaxmax/go-sse"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/transport/httpconn"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// Stream implements attempt.Stream.
+type Stream struct {
+	call   *attempt.EngineCall
+	raw    *httpconn.Stream
+	resp   *fasthttp.Response
+	next   func() (sse.Event, error, bool)
+	stop   func()
+	nextID int
+}
+
+// Open asks for a streamed answer. A positive after resumes the same attempt
+// behind that event. The error is of one of the kinds of package attempt.
+func (c *Client) Open(ctx context.Context, call *attempt.EngineCall, after int) (attempt.Stream, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	if err := prepare(req, call, true); err != nil {
+		return nil, err
+	}
+	if after > 0 {
+		req.Header.Set(HeaderLastEventID, strconv.Itoa(after))
+	}
+	resp := fasthttp.AcquireResponse()
+	raw, err := c.pool.Open(ctx, call.Address, req, resp, httpconn.ReuseIdle)
+	if err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return nil, callError(err)
+	}
+	s := &Stream{call: call, raw: raw, resp: resp, nextID: after + 1}
+	if err := s.checkHeader(); err != nil {
+		raw.Close()
+		fasthttp.ReleaseResponse(resp)
+		return nil, err
+	}
+	s.next, s.stop = iter.Pull2(sse.Read(raw, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+	return s, nil
+}
+
+func (s *Stream) checkHeader() error {
+	if err := statusError(s.resp); err != nil {
+		return err
+	}
+	header := string(s.resp.Header.Peek(HeaderRequestID))
+	if header != "" && header != s.call.AttemptID {
+		return merry.Prependf(attempt.ErrBroken, "stream belongs to attempt %q", header)
+	}
+	return nil
+}
+
+// Next returns the next chunk; io.EOF comes only after the end mark. Any
+// other error is of the kind attempt.ErrBroken.
+func (s *Stream) Next() (*attempt.Chunk, error) {
+	event, err, more := s.next()
+	if err != nil {
+		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
+	}
+	if !more {
+		return nil, merry.Prepend(attempt.ErrBroken, "stream ended without its end mark")
+	}
+	if event.Data == openai.DoneMark {
+		return nil, s.drain()
+	}
+	return s.decode(event)
+}
+
+// drain reads to the end of the body, so that the connection can be kept.
+func (s *Stream) drain() error {
+	if _, err, more := s.next(); err != nil || more {
+		return merry.Prepend(attempt.ErrBroken, "stream goes on after its end mark")
+	}
+	return io.EOF
+}
+
+func (s *Stream) decode(event sse.Event) (*attempt.Chunk, error) {
+	chunk := &attempt.Chunk{Data: []byte(event.Data)}
+	if err := json.Unmarshal(chunk.Data, &chunk.Parsed); err != nil {
+		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
+	}
+	if err := checkAttempt(s.call, string(s.resp.Header.Peek(HeaderRequestID)), chunk.Parsed.ID); err != nil {
+		return nil, err
+	}
+	if err := checkModel(s.call, chunk.Parsed.Model); err != nil {
+		return nil, err
+	}
+	if event.LastEventID == "" {
+		return chunk, nil
+	}
+	id, err := strconv.Atoi(event.LastEventID)
+	if err != nil || id != s.nextID {
+		return nil, merry.Prependf(attempt.ErrBroken, "event %q came instead of event %d", event.LastEventID, s.nextID)
+	}
+	s.nextID++
+	return chunk, nil
+}
+
+// LastEvent returns the number of the last event, or 0 where the engine does
+// not number its events and so can't resume.
+func (s *Stream) LastEvent() int { return s.nextID - 1 }
+
+// Close ends the stream; one that was not read to its end is cancelled.
+func (s *Stream) Close() {
+	s.stop()
+	s.raw.Close()
+	fasthttp.ReleaseResponse(s.resp)
+}
--- /dev/null
+++ b/internal/transport/httpconn/call.go
@@ -0,0 +1,202 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Reuse says which connections a call may take.
+type Reuse int
+
+const (
+	// ReuseIdle takes an unused connection; where the server had closed it
+	// meanwhile, the request is written once more on a new one. Only for
+	// requests that may be repeated.
+	ReuseIdle Reuse = iota
+	// ReuseNone opens a new connection, so that a request is written at most
+	// once and a refused connection proves that it was not.
+	ReuseNone
+)
+
+// Do sends a request to address and reads the whole response. The error is a
+// *CallError.
+func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, reuse Reuse) error {
+	c, stop, err := p.exchange(ctx, address, req, resp, reuse)
+	if err != nil {
+		return err
+	}
+	p.release(c, stop, resp)
+	return nil
+}
+
+// Stream is a response whose body is read as it arrives.
+type Stream struct {
+	pool *Pool
+	conn *conn
+	resp *fasthttp.Response
+	stop func() bool
+	end  bool
+}
+
+// Open sends a request to address and returns as soon as the header of the
+// response has arrived. The caller must Close the stream and must keep resp
+// until then. The error is a *CallError.
+func (p *Pool) Open(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, reuse Reuse) (*Stream, error) {
+	resp.StreamBody = true
+	c, stop, err := p.exchange(ctx, address, req, resp, reuse)
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{pool: p, conn: c, resp: resp, stop: stop}, nil
+}
+
+// Read reads the next bytes of the body. io.EOF comes only at the end that
+// the server marked; a cut stream ends with another error.
+func (s *Stream) Read(b []byte) (int, error) {
+	n, err := s.resp.BodyStream().Read(b)
+	s.end = errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close ends the call. A stream that was not read to its end closes its
+// connection, by which the server learns that nobody listens any more.
+func (s *Stream) Close() {
+	if s.end && s.stop() && !s.resp.ConnectionClose() {
+		_ = s.resp.CloseBodyStream()
+		s.pool.put(s.conn)
+		return
+	}
+	s.stop()
+	_ = s.conn.Close()
+	_ = s.resp.CloseBodyStream()
+}
+
+// exchange writes the request and reads the response as far as it is asked
+// for. A kept connection that had been closed by the server is replaced once.
+func (p *Pool) exchange(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, reuse Reuse) (*conn, func() bool, error) {
+	stream := resp.StreamBody
+	if reuse == ReuseIdle {
+		if c := p.take(address); c != nil {
+			stop, err := p.roundTrip(ctx, c, req, resp)
+			if err == nil {
+				return c, stop, nil
+			}
+			if !isStale(err) || ctx.Err() != nil {
+				return nil, nil, err
+			}
+			resp.Reset()
+			resp.StreamBody = stream
+		}
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, nil, &CallError{Phase: PhaseConnect, Address: address, Err: err}
+	}
+	if err := ctx.Err(); err != nil {
+		_ = c.Close()
+		return nil, nil, &CallError{Phase: PhaseConnect, Address: address, Err: err}
+	}
+	stop, err := p.roundTrip(ctx, c, req, resp)
+	if err != nil {
+		return nil, nil, err
+	}
+	return c, stop, nil
+}
+
+func isStale(err error) bool {
+	var callErr *CallError
+	return errors.As(err, &callErr) && callErr.stale
+}
+
+// roundTrip closes the connection where it fails. The returned function stops
+// the watch on ctx and reports whether the call had not been ended by it.
+func (p *Pool) roundTrip(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response) (func() bool, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	err := p.writeAndRead(c, req, resp)
+	if err == nil {
+		return stop, nil
+	}
+	stop()
+	_ = c.Close()
+	if cause := context.Cause(ctx); cause != nil {
+		err.Err = cause
+	}
+	return nil, err
+}
+
+func (p *Pool) writeAndRead(c *conn, req *fasthttp.Request, resp *fasthttp.Response) *CallError {
+	if err := p.write(c, req); err != nil {
+		return &CallError{Phase: PhaseRequest, Address: c.address, Err: err, stale: c.usedBefore}
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err, stale: c.usedBefore && errors.Is(err, io.EOF)}
+	}
+	if err := p.read(c, resp, req.Header.IsHead()); err != nil {
+		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err}
+	}
+	return nil
+}
+
+func (p *Pool) write(c *conn, req *fasthttp.Request) error {
+	if err := c.SetWriteDeadline(time.Now().Add(p.opts.IdleTimeout)); err != nil {
+		return err
+	}
+	writer := bufio.NewWriter(c)
+	if err := req.Write(writer); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
+const identityBody = -2 // ContentLength of a body that ends with its connection
+
+func (p *Pool) read(c *conn, resp *fasthttp.Response, head bool) error {
+	stream := resp.StreamBody
+	resp.SkipBody = resp.SkipBody || head
+	// The header is read first, because a whole body read by fasthttp hides
+	// whether it was framed.
+	resp.StreamBody = true
+	if err := resp.ReadLimitBody(c.reader, p.opts.MaxBody); err != nil {
+		return err
+	}
+	if resp.Header.ContentLength() == identityBody {
+		return ErrUnframed
+	}
+	if stream {
+		return nil
+	}
+	return p.readWhole(resp)
+}
+
+// readWhole replaces the body stream by the whole body.
+func (p *Pool) readWhole(resp *fasthttp.Response) error {
+	reader := resp.BodyStream()
+	if reader == nil {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(reader, int64(p.opts.MaxBody)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > p.opts.MaxBody {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if err := resp.CloseBodyStream(); err != nil {
+		return err
+	}
+	resp.SetBodyRaw(body)
+	return nil
+}
+
+func (p *Pool) release(c *conn, stop func() bool, resp *fasthttp.Response) {
+	if !stop() || resp.ConnectionClose() {
+		_ = c.Close()
+		return
+	}
+	p.put(c)
+}
--- /dev/null
+++ b/internal/transport/httpconn/pool.go
@@ -0,0 +1,152 @@
+// Package httpconn calls HTTP/1.1 servers (RFC 9112) over connections that it
+// controls itself. The codec is fasthttp's; its clients are not used, because
+// a caller of this package must know whether any byte of a request was
+// written, must be able to end one call by closing its connection, and must
+// never have a request repeated behind its back.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+)
+
+// Options are the limits of a Pool.
+type Options struct {
+	// ConnectTimeout bounds the wait for a connection.
+	ConnectTimeout time.Duration
+	// IdleTimeout bounds each wait for the next byte of a response.
+	IdleTimeout time.Duration
+	// KeepAlive is how long an unused connection is kept.
+	KeepAlive time.Duration
+	// MaxIdle is how many unused connections are kept per address.
+	MaxIdle int
+	// MaxBody bounds a whole response body in bytes.
+	MaxBody int
+	// TLS is nil for plain HTTP.
+	TLS *tls.Config
+}
+
+// DefaultOptions returns options that suit calls within a failure domain.
+func DefaultOptions() Options {
+	return Options{
+		ConnectTimeout: time.Second,
+		IdleTimeout:    30 * time.Second,
+		KeepAlive:      20 * time.Second,
+		MaxIdle:        64,
+		MaxBody:        16 << 20,
+	}
+}
+
+// Pool keeps connections to any number of servers. It is safe for concurrent
+// use.
+type Pool struct {
+	opts   Options
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(opts Options) *Pool {
+	return &Pool{
+		opts:   opts,
+		dialer: net.Dialer{Timeout: opts.ConnectTimeout},
+		idle:   map[string][]*conn{},
+	}
+}
+
+// Close closes all unused connections; those in use close at their end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, conns := range p.idle {
+		closeAll(conns)
+	}
+	clear(p.idle)
+}
+
+// conn is one connection with its read buffer.
+type conn struct {
+	net.Conn
+	address     string
+	reader      *bufio.Reader
+	idleTimeout time.Duration
+	usedBefore  bool
+	idleSince   time.Time
+}
+
+// Read waits at most the idle timeout for the next bytes.
+func (c *conn) Read(b []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// take returns the unused connection that was used last, or nil.
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := conns[len(conns)-1]
+	if time.Since(last.idleSince) > p.opts.KeepAlive {
+		closeAll(conns)
+		delete(p.idle, address)
+		return nil
+	}
+	p.idle[address] = conns[:len(conns)-1]
+	return last
+}
+
+func (p *Pool) put(c *conn) {
+	if c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	c.usedBefore = true
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[c.address]
+	if p.closed || len(conns) >= p.opts.MaxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(conns, c)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	nc, err := p.dialConn(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, address: address, idleTimeout: p.opts.IdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
+}
+
+// readBufferBytes is the size of the read buffer; a header must fit in it.
+const readBufferBytes = 8 << 10
+
+func (p *Pool) dialConn(ctx context.Context, address string) (net.Conn, error) {
+	if p.opts.TLS == nil {
+		return p.dialer.DialContext(ctx, "tcp", address)
+	}
+	tlsDialer := tls.Dialer{NetDialer: &p.dialer, Config: p.opts.TLS}
+	return tlsDialer.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/transport/plainservice/plainservice.go
@@ -0,0 +1,66 @@
+// Package plainservice passes calls to plain services with method, path and
+// body unchanged.
+package plainservice
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/records"
+	"medlarslip/internal/transport/httpconn"
+)
+
+// HeaderIdempotencyKey carries the caller's key, as in the IETF draft "The
+// Idempotency-Key HTTP Header Field".
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// Client implements attempt.Services. It is safe for concurrent use.
+type Client struct {
+	pool *httpconn.Pool
+}
+
+var _ attempt.Services = (*Client)(nil)
+
+// New returns a client that uses the connections of pool.
+func New(pool *httpconn.Pool) *Client { return &Client{pool: pool} }
+
+// Do performs the call. One with an idempotency key is written at most once,
+// on a connection of its own. The error is of the kind attempt.ErrNotSent or
+// attempt.ErrNoAnswer.
+func (c *Client) Do(ctx context.Context, call *attempt.ServiceCall) (*records.KeptAnswer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	reuse := httpconn.ReuseIdle
+	req.Header.SetMethod(call.Method)
+	req.SetRequestURI("http://" + call.Address + call.Path)
+	req.Header.Set("X-Request-Id", call.RequestID)
+	if call.ContentType != "" {
+		req.Header.SetContentType(call.ContentType)
+	}
+	if call.IdempotencyKey != "" {
+		req.Header.Set(HeaderIdempotencyKey, call.IdempotencyKey)
+		reuse = httpconn.ReuseNone
+	}
+	req.SetBodyRaw(call.Body)
+	if err := c.pool.Do(ctx, call.Address, req, resp, reuse); err != nil {
+		return nil, callError(err)
+	}
+	return &records.KeptAnswer{
+		Status:      resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+		Body:        bytes.Clone(resp.Body()),
+	}, nil
+}
+
+func callError(err error) error {
+	if httpconn.MayHaveRun(err) {
+		return merry.Prepend(attempt.ErrNoAnswer, err.Error())
+	}
+	return merry.Prepend(attempt.ErrNotSent, err.Error())
+}
