Carry calls between entry instances over mutually authenticated TLS

Every instance derives the same certificate authority from the shared key and issues itself a certificate, so that no certificate has to be handed out and traffic of another fleet is refused in the handshake. Calls are JSON-RPC 2.0 (sourcegraph/jsonrpc2) with length-prefixed messages.

The assembly of an instance is split into a file per concern.

--- /dev/null
+++ b/internal/instance/assembly.go
@@ -0,0 +1,101 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/xid"
+
+	"medlarslip/internal/coordination/billing"
+	"medlarslip/internal/coordination/claims"
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/coordination/membership"
+	"medlarslip/internal/protocol/settings"
+	"medlarslip/internal/state/backends"
+	"medlarslip/internal/state/requests"
+	"medlarslip/internal/transport/httpconn"
+	"medlarslip/internal/transport/logclient"
+	"medlarslip/internal/transport/peer"
+	"medlarslip/internal/transport/platformclient"
+)
+
+// logReadIdle bounds the silence of the log service, which holds reads that
+// wait for the next record.
+const logReadIdle = 20 * time.Second
+
+// part is a part of an instance that runs until ctx ends.
+type part func(ctx context.Context) error
+
+// assembly holds the parts of an instance while they are put together. Each
+// file of this package adds the parts of one concern.
+type assembly struct {
+	settings    *settings.Entry
+	sharedKey   []byte
+	incarnation string
+
+	log          eventlog.Log
+	platform     *platformclient.Client
+	backendPool  *httpconn.Pool
+	peerServer   *peer.Server
+	peerClient   *peer.Client
+	store        *configuration.Store
+	table        *backends.Table
+	members      *membership.Members
+	bookings     *claims.Coordinator
+	bills        *billing.Writer
+	explanations *requests.Log
+
+	// followers run until the last request is answered.
+	followers []part
+	// writers run until after that, so that nothing they hold is lost.
+	writers []part
+	// closers free what is left at the very end.
+	closers []func()
+}
+
+func newAssembly(s *settings.Entry, sharedKey []byte) (*assembly, error) {
+	identity, err := peer.NewIdentity(sharedKey, s.Instance)
+	if err != nil {
+		return nil, err
+	}
+	a := &assembly{
+		settings:     s,
+		sharedKey:    sharedKey,
+		incarnation:  xid.New().String(),
+		peerServer:   peer.NewServer(identity),
+		peerClient:   peer.NewClient(identity),
+		table:        backends.NewTable(),
+		explanations: requests.NewLog(),
+	}
+	a.closers = append(a.closers, a.peerClient.Close)
+	a.log = logclient.New(s.Platform.Log, a.newPool(a.platformOptions()))
+	a.platform = platformclient.New(s.Platform.Instances, s.Platform.Ratings, a.newPool(a.platformOptions()))
+	a.backendPool = a.newPool(a.backendOptions())
+	if err := a.addConfiguration(); err != nil {
+		return nil, err
+	}
+	a.addFleet()
+	a.addBookings()
+	return a, nil
+}
+
+func (a *assembly) newPool(opts httpconn.Options) *httpconn.Pool {
+	pool := httpconn.NewPool(opts)
+	a.closers = append(a.closers, pool.Close)
+	return pool
+}
+
+func (a *assembly) platformOptions() httpconn.Options {
+	opts := httpconn.DefaultOptions()
+	opts.ConnectTimeout = a.settings.Limits.ConnectTimeout()
+	opts.IdleTimeout = logReadIdle
+	return opts
+}
+
+func (a *assembly) backendOptions() httpconn.Options {
+	opts := httpconn.DefaultOptions()
+	opts.ConnectTimeout = a.settings.Limits.ConnectTimeout()
+	opts.IdleTimeout = a.settings.Limits.StreamIdle()
+	return opts
+}
--- /dev/null
+++ b/internal/transport/peer/client.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Kinds of error.
+var (
+	// ErrUnreachable means that the peer did not answer; the call may have
+	// had its effect.
+	ErrUnreachable = merry.Sentinel("peer did not answer; try another or later")
+	// ErrRemote means that the peer answered with an error.
+	ErrRemote = merry.Sentinel("peer refused the call")
+)
+
+// Client calls other entry instances over one connection each. It is safe for
+// concurrent use.
+type Client struct {
+	identity *Identity
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// NewClient returns a client without connections.
+func NewClient(identity *Identity) *Client {
+	return &Client{identity: identity, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Call calls a method of the instance at address, a control address, and
+// decodes the answer into result. The error is of the kind ErrUnreachable or
+// ErrRemote.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		failedPeerCalls.Add(1)
+		return merry.Prependf(ErrUnreachable, "%s: %v", address, err)
+	}
+	err = conn.Call(ctx, method, params, result)
+	switch {
+	case err == nil:
+		return nil
+	case isRemote(err):
+		return merry.Prependf(ErrRemote, "%s: %v", address, err)
+	default:
+		failedPeerCalls.Add(1)
+		return merry.Prependf(ErrUnreachable, "%s: %v", address, err)
+	}
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// conn returns the open connection to address or opens one. Two calls that
+// open one at the same time both do; the later one is kept.
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	secured := tls.Client(&countingConn{Conn: raw}, c.identity.clientConfig())
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(secured, jsonrpc2.VarintObjectCodec{}), noCalls{})
+	c.keep(address, conn)
+	return conn, nil
+}
+
+func (c *Client) keep(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if old, ok := c.conns[address]; ok {
+		_ = old.Close()
+	}
+	c.conns[address] = conn
+	c.mu.Unlock()
+	go func() {
+		<-conn.DisconnectNotify()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.conns[address] == conn {
+			delete(c.conns, address)
+		}
+	}()
+}
+
+// noCalls is the handler of the calling side, which answers no calls.
+type noCalls struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (noCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side answers no calls"})
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,145 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Handler answers calls of one method. It receives the name of the calling
+// instance; its result is encoded as JSON.
+type Handler func(ctx context.Context, from string, params json.RawMessage) (any, error)
+
+const (
+	handshakeTimeout = 2 * time.Second
+	// connectionIdle closes connections that no peer uses any more.
+	connectionIdle = 2 * time.Minute
+)
+
+// Counters of this package.
+var (
+	callCount        = expvar.NewMap("peer_calls")
+	rejectedPeers    = expvar.NewInt("peer_rejected_connections")
+	bytesReceived    = expvar.NewInt("peer_bytes_received")
+	bytesSent        = expvar.NewInt("peer_bytes_sent")
+	failedPeerCalls  = expvar.NewInt("peer_failed_calls")
+	openPeerSessions = expvar.NewInt("peer_connections")
+)
+
+// Server answers calls of other entry instances.
+type Server struct {
+	identity *Identity
+	handlers map[string]Handler
+
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]struct{}
+}
+
+// NewServer returns a server without methods.
+func NewServer(identity *Identity) *Server {
+	return &Server{identity: identity, handlers: map[string]Handler{}, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Handle adds a method; all must be added before Serve.
+func (s *Server) Handle(method string, handler Handler) { s.handlers[method] = handler }
+
+// Serve answers calls on a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	defer s.closeAll()
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return merry.Prepend(err, "accept a peer")
+		}
+		go s.serve(ctx, raw)
+	}
+}
+
+func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	conn := tls.Server(&countingConn{Conn: raw}, s.identity.serverConfig())
+	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(handshake); err != nil {
+		rejectedPeers.Add(1)
+		_ = conn.Close()
+		return
+	}
+	from := conn.ConnectionState().PeerCertificates[0].Subject.CommonName
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		return s.answer(ctx, from, req)
+	}))
+	session := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{}), handler)
+	s.track(session, true)
+	<-session.DisconnectNotify()
+	s.track(session, false)
+	_ = conn.Close()
+}
+
+func (s *Server) answer(ctx context.Context, from string, req *jsonrpc2.Request) (any, error) {
+	handler, ok := s.handlers[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method + "; update this instance"}
+	}
+	callCount.Add(req.Method, 1)
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return handler(ctx, from, params)
+}
+
+func (s *Server) track(conn *jsonrpc2.Conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[conn] = struct{}{}
+	} else {
+		delete(s.conns, conn)
+	}
+	openPeerSessions.Set(int64(len(s.conns)))
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// countingConn counts the bytes on the wire and ends idle connections.
+type countingConn struct{ net.Conn }
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(connectionIdle)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	bytesReceived.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	bytesSent.Add(int64(n))
+	return n, err
+}
+
+// isRemote reports whether the peer itself answered with an error.
+func isRemote(err error) bool {
+	var remote *jsonrpc2.Error
+	return errors.As(err, &remote)
+}
