Spread state and liveness among entry instances by gossip

Entry instances knew each other only from the lagging instance list. They now exchange with three neighbours each on a ring with geometric distances, find out about dead members in the manner of SWIM, and spread versioned entries. An instance that reaches nobody accuses nobody and keeps its view.

Full state to random members was ruled out for its bytes; connections to all members for their memory.

--- /dev/null
+++ b/internal/coordination/gossip/node.go
@@ -0,0 +1,427 @@
+// Package gossip spreads small state among entry instances and finds out which
+// of them are alive, in the manner of SWIM (Das, Gupta, Motivala, 2002): each
+// instance exchanges with a few neighbours, asks others to probe a neighbour
+// that does not answer, suspects it first, and lets it refute. An exchange
+// carries only what changed since the last one with the same neighbour.
+package gossip
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// exchangeInterval is the time between two exchanges with one neighbour.
+	exchangeInterval = time.Second
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 800 * time.Millisecond
+	// urgentInterval is the shortest time between two rounds of urgent
+	// exchanges with all neighbours.
+	urgentInterval = 50 * time.Millisecond
+	// suspicionTime is how long a suspect may take to refute.
+	suspicionTime = 5 * time.Second
+	// isolationTime is how long an instance goes without any contact until
+	// it distrusts itself.
+	isolationTime = 3 * time.Second
+	// probeHelpers is how many members are asked to probe for this one.
+	probeHelpers = 2
+	// revivalInterval is the time between two tries to reach a member that
+	// counts as dead, so that regions that were apart find each other.
+	revivalInterval = 5 * time.Second
+	// forgetDead is how long dead members are remembered.
+	forgetDead = 2 * time.Hour
+	// maxGossipMembers bounds the members that are remembered.
+	maxGossipMembers = 4096
+)
+
+// Counters of this package.
+var (
+	exchangeCount  = expvar.NewInt("gossip_exchanges")
+	exchangeFailed = expvar.NewInt("gossip_exchanges_failed")
+	suspicionCount = expvar.NewInt("gossip_suspicions")
+	isolatedCount  = expvar.NewInt("gossip_isolated")
+)
+
+// Transport carries one exchange to the member at a control address and
+// returns its reply.
+type Transport interface {
+	Exchange(ctx context.Context, address string, payload []byte) ([]byte, error)
+}
+
+// Config is what a Node is made of.
+type Config struct {
+	Self Member
+	// Run identifies this run of the process.
+	Run       string
+	Transport Transport
+	// OnEntry is called for each entry that changed, without a lock held.
+	// Observed is when its value was observed, on the local clock.
+	OnEntry func(entry Entry, observed time.Time)
+}
+
+// Node is one entry instance as a member. It is safe for concurrent use.
+type Node struct {
+	config Config
+
+	mu      sync.Mutex
+	self    Member
+	entries *store
+	members map[string]*memberState
+	peers   map[string]*peerState
+	// contact is when any exchange last worked, in either direction.
+	contact   time.Time
+	isolated  bool
+	rotation  int
+	revivedAt time.Time
+	changed   []changedEntry
+
+	urgent chan struct{}
+	// calls counts exchanges that were begun and have not ended.
+	calls sync.WaitGroup
+}
+
+// memberState is what is known of another member.
+type memberState struct {
+	Member
+	// since is when the state was learned.
+	since time.Time
+}
+
+// peerState is how far exchanges with a member have come.
+type peerState struct {
+	// run and seen are the run and sequence of the member that were read.
+	run  string
+	seen uint64
+	// acked is the own sequence that the member has seen.
+	acked uint64
+	busy  bool
+}
+
+type changedEntry struct {
+	entry    Entry
+	observed time.Time
+}
+
+// New returns a node that knows no other member.
+func New(config Config) *Node {
+	n := &Node{
+		config:  config,
+		self:    config.Self,
+		entries: newStore(),
+		members: map[string]*memberState{},
+		peers:   map[string]*peerState{},
+		contact: time.Now(),
+		urgent:  make(chan struct{}, 1),
+	}
+	n.self.Incarnation = max(n.self.Incarnation, 1)
+	n.storeMemberLocked(&n.self, time.Now())
+	return n
+}
+
+// Join makes members known, as the instance list shows them. What gossip
+// already says of a member goes first.
+func (n *Node) Join(members []Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, member := range members {
+		if member.ID == n.self.ID || n.members[member.ID] != nil {
+			continue
+		}
+		member.Incarnation, member.State = 0, StateAlive
+		n.members[member.ID] = &memberState{Member: member, since: time.Now()}
+	}
+}
+
+// Members returns what is known of all members, this one included, ordered by
+// ID.
+func (n *Node) Members() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := []Member{n.self}
+	for _, member := range n.members {
+		all = append(all, member.Member)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
+	return all
+}
+
+// Isolated reports whether this instance reaches nobody and therefore keeps
+// its last view.
+func (n *Node) Isolated() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isolated
+}
+
+// Leave tells all neighbours at once that this instance takes no new work.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.self.State = StateLeft
+	n.self.Incarnation++
+	n.storeMemberLocked(&n.self, time.Now())
+	n.mu.Unlock()
+	n.wake()
+}
+
+// Publish spreads a new value under a key; it supersedes every value known
+// here. AgeOf is the age of the observation.
+func (n *Node) Publish(kind Kind, key string, value []byte, ageOf time.Duration, isUrgent bool) {
+	now := time.Now()
+	n.mu.Lock()
+	version := uint64(1)
+	if old := n.entries.get(kind, key); old != nil {
+		version = old.entry.Version + 1
+	}
+	n.mergeLocked(Entry{Kind: kind, Key: key, Version: version, Value: value, AgeMillis: age(now.Add(-ageOf), now)}, "", now)
+	n.mu.Unlock()
+	n.deliver()
+	if isUrgent {
+		n.wake()
+	}
+}
+
+// Get returns a copy of an entry and when its value was observed.
+func (n *Node) Get(kind Kind, key string) (Entry, time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	st := n.entries.get(kind, key)
+	if st == nil {
+		return Entry{}, time.Time{}, false
+	}
+	return st.entry, st.observed, true
+}
+
+// Prune forgets the entries of a kind that keep does not want.
+func (n *Node) Prune(kind Kind, keep func(key string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.entries.all(kind, func(st *stored) {
+		if !keep(st.entry.Key) {
+			n.entries.remove(kind, st.entry.Key)
+		}
+	})
+}
+
+func (n *Node) wake() {
+	select {
+	case n.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// storeMemberLocked puts what is known of a member into the spread entries.
+func (n *Node) storeMemberLocked(member *Member, now time.Time) {
+	entry, err := member.entry()
+	if err != nil {
+		return // strings always encode
+	}
+	n.entries.merge(entry, "", now)
+}
+
+// mergeLocked takes over an entry that came from a member.
+func (n *Node) mergeLocked(e Entry, from string, now time.Time) {
+	if e.Kind == KindMember {
+		n.mergeMemberLocked(&e, from, now)
+		return
+	}
+	if n.entries.merge(e, from, now) {
+		st := n.entries.get(e.Kind, e.Key)
+		n.changed = append(n.changed, changedEntry{entry: e, observed: st.observed})
+		if e.Kind == KindWarmth {
+			n.wake()
+		}
+	}
+}
+
+func (n *Node) mergeMemberLocked(e *Entry, from string, now time.Time) {
+	member, err := memberOf(e)
+	if err != nil {
+		return
+	}
+	if member.ID == n.self.ID {
+		n.refuteLocked(&member, now)
+		return
+	}
+	known := n.members[member.ID]
+	if known == nil && (member.State == StateDead || len(n.members) >= maxGossipMembers) {
+		return
+	}
+	if !n.entries.merge(*e, from, now) {
+		return
+	}
+	if known == nil || known.State != member.State || known.Incarnation != member.Incarnation {
+		n.members[member.ID] = &memberState{Member: member, since: now}
+	}
+	if member.State == StateLeft {
+		n.wake()
+	}
+}
+
+// refuteLocked answers what others say of this instance by a higher
+// incarnation.
+func (n *Node) refuteLocked(said *Member, now time.Time) {
+	if said.version() < n.self.version() || said.version() == n.self.version() && said.Control == n.self.Control {
+		return
+	}
+	n.self.Incarnation = said.Incarnation + 1
+	n.storeMemberLocked(&n.self, now)
+	n.wake()
+}
+
+// deliver reports changed entries to the owner of the node.
+func (n *Node) deliver() {
+	n.mu.Lock()
+	changed := n.changed
+	n.changed = nil
+	n.mu.Unlock()
+	if n.config.OnEntry == nil {
+		return
+	}
+	for _, c := range changed {
+		n.config.OnEntry(c.entry, c.observed)
+	}
+}
+
+// Receive answers one exchange that another member began. The error is of the
+// kind ErrMalformed.
+func (n *Node) Receive(ctx context.Context, raw []byte) ([]byte, error) {
+	received, err := decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	if received.Probe != "" {
+		return n.probeFor(ctx, received.Probe)
+	}
+	now := time.Now()
+	n.mu.Lock()
+	n.takeLocked(received, now)
+	reply := n.messageLocked(received.From, now)
+	n.mu.Unlock()
+	n.deliver()
+	return encode(reply)
+}
+
+// takeLocked merges a message and notes how far the sender has come.
+func (n *Node) takeLocked(m *message, now time.Time) {
+	n.contact = now
+	n.isolated = false
+	peer := n.peerLocked(m.From)
+	if peer.run != m.Run {
+		*peer = peerState{run: m.Run, busy: peer.busy}
+		n.entries.forgetSource(m.From)
+	}
+	if m.AckRun == n.config.Run {
+		peer.acked = max(peer.acked, min(m.Ack, n.entries.sequence))
+	}
+	for _, e := range m.Entries {
+		n.mergeLocked(e, m.From, now)
+	}
+	peer.seen = max(peer.seen, m.Sequence)
+	if known := n.members[m.From]; known != nil && known.State == StateDead {
+		// The member speaks; it refutes once it hears what is said of it.
+		n.contactDeadLocked(known)
+	}
+}
+
+// contactDeadLocked makes the entry about a dead member the newest change, so
+// that the reply carries it to the member itself.
+func (n *Node) contactDeadLocked(known *memberState) {
+	if st := n.entries.get(KindMember, known.ID); st != nil {
+		entry := st.entry
+		n.entries.remove(KindMember, known.ID)
+		n.entries.merge(entry, "", time.Now())
+	}
+}
+
+func (n *Node) peerLocked(id string) *peerState {
+	peer := n.peers[id]
+	if peer == nil {
+		peer = &peerState{}
+		n.peers[id] = peer
+	}
+	return peer
+}
+
+// messageLocked returns what a member has not seen yet.
+func (n *Node) messageLocked(to string, now time.Time) *message {
+	peer := n.peerLocked(to)
+	entries, sequence := n.entries.since(peer.acked, to, now)
+	return &message{
+		From: n.self.ID, Run: n.config.Run,
+		Sequence: sequence,
+		AckRun:   peer.run, Ack: peer.seen,
+		Entries: entries,
+	}
+}
+
+// exchange carries out one exchange with a member.
+func (n *Node) exchange(ctx context.Context, member Member) error {
+	n.mu.Lock()
+	request := n.messageLocked(member.ID, time.Now())
+	n.mu.Unlock()
+	raw, err := encode(request)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	exchangeCount.Add(1)
+	answer, err := n.config.Transport.Exchange(ctx, member.Control, raw)
+	if err != nil {
+		exchangeFailed.Add(1)
+		return err
+	}
+	reply, err := decode(answer)
+	if err != nil {
+		return err
+	}
+	if reply.From != member.ID {
+		return merry.Prependf(ErrMalformed, "%s answered in place of %s", reply.From, member.ID)
+	}
+	n.mu.Lock()
+	n.takeLocked(reply, time.Now())
+	n.mu.Unlock()
+	n.deliver()
+	return nil
+}
+
+// liveIDsLocked returns the members that take part, this one included.
+func (n *Node) liveIDsLocked() []string {
+	ids := []string{n.self.ID}
+	for id, member := range n.members {
+		if member.State < StateDead {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (n *Node) neighboursLocked() []Member {
+	chosen := neighbours(n.self.ID, n.liveIDsLocked())
+	members := make([]Member, len(chosen))
+	for i, id := range chosen {
+		members[i] = n.members[id].Member
+	}
+	return members
+}
+
+func compareIDs(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func sortedIDs(members map[string]*memberState) []string {
+	return slices.Sorted(maps.Keys(members))
+}
