Bar leaving servers and instances in time although the list lags

A leaving server was seen only by instances whose own list showed it. The first instance that sees it now spreads the incarnation that leaves, and all bar it at once, also while their list is down. Entries answers leave out instances that left or died by gossip and those in failure domains that are taken out.

--- a/internal/coordination/gossip/entry.go
+++ b/internal/coordination/gossip/entry.go
@@ -17,6 +17,9 @@
 	KindLoad Kind = 2
 	// KindWarmth entries hold whether a backend server is warm.
 	KindWarmth Kind = 3
+	// KindLeaving entries hold the incarnation of a backend server that
+	// leaves.
+	KindLeaving Kind = 4
 )
 
 // Entry is one register of the spread state. Of two entries with the same
--- /dev/null
+++ b/internal/coordination/membership/entries.go
@@ -0,0 +1,62 @@
+package membership
+
+import (
+	"slices"
+
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/protocol/entries"
+	"medlarslip/internal/protocol/platform"
+)
+
+const entryWeight = 100
+
+// Entries answers which entry instances callers may use: those that live by
+// the list and by gossip and whose failure domain is in service.
+func (m *Members) Entries() entries.Answer {
+	answer := entries.Answer{Entries: []entries.Entry{}, TTLMillis: m.config.TTL.Milliseconds()}
+	for _, member := range m.live() {
+		if m.config.DomainOut != nil && m.config.DomainOut(member.FailureDomain) {
+			continue
+		}
+		answer.Entries = append(answer.Entries, entries.Entry{
+			Address: member.Callers, Weight: entryWeight, FailureDomain: member.FailureDomain,
+		})
+	}
+	return answer
+}
+
+// EntryIDs returns the IDs of the entry instances that live, this one
+// included unless it leaves.
+func (m *Members) EntryIDs() []string {
+	live := m.live()
+	ids := make([]string, len(live))
+	for i, member := range live {
+		ids[i] = member.ID
+	}
+	return ids
+}
+
+// Live reports whether an entry instance lives.
+func (m *Members) Live(id string) bool { return slices.Contains(m.EntryIDs(), id) }
+
+// live returns the entry instances that live. Of itself this instance knows
+// whether it stays. Of another, gossip tells it as soon as it dies or leaves;
+// the list tells it that the platform takes the instance out.
+func (m *Members) live() []gossip.Member {
+	m.mu.Lock()
+	leaving, listed := m.leaving, m.entries
+	m.mu.Unlock()
+	barred := map[string]bool{m.config.Self.ID: leaving}
+	for _, instance := range listed {
+		if instance.ID != m.config.Self.ID && instance.State != platform.InstanceLive {
+			barred[instance.ID] = true
+		}
+	}
+	var live []gossip.Member
+	for _, member := range m.config.Gossip.Members() {
+		if member.State < gossip.StateDead && !barred[member.ID] {
+			live = append(live, member)
+		}
+	}
+	return live
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -1,5 +1,6 @@
 // Package membership keeps what an entry instance knows of the other instances
-// and of the backend servers, from the platform's lagging instance list.
+// and of the backend servers: the platform's lagging instance list, corrected
+// by what the instances themselves spread.
 package membership
 
 import (
@@ -10,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"medlarslip/internal/protocol/entries"
+	"medlarslip/internal/coordination/gossip"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/state/backends"
 )
@@ -20,29 +21,56 @@
 	Instances(ctx context.Context) (*platform.InstanceList, error)
 }
 
-// PollInterval is the time between two reads of the instance list.
-const PollInterval = time.Second
+// Gossip is what the entry instances say of each other.
+type Gossip interface {
+	// Join makes the members of the instance list known.
+	Join(members []gossip.Member)
+	// Members returns all members, this instance included.
+	Members() []gossip.Member
+	// Leave says at once that this instance takes no new work.
+	Leave()
+	// Publish spreads a value.
+	Publish(kind gossip.Kind, key string, value []byte, ageOf time.Duration, urgent bool)
+	// Get returns the value that is known under a key.
+	Get(kind gossip.Kind, key string) (gossip.Entry, time.Time, bool)
+}
 
-const entryWeight = 100
+const (
+	// PollInterval is the time between two reads of the instance list.
+	PollInterval = time.Second
+	// leavingHintLife is how long it counts that another instance saw a
+	// backend server leave. It covers the lag of the instance list.
+	leavingHintLife = time.Minute
+)
 
 var pollFailures = expvar.NewInt("instance_list_failures")
 
+// Config is what Members are made of.
+type Config struct {
+	Self   platform.Instance
+	Source Source
+	Gossip Gossip
+	Table  *backends.Table
+	// TTL is how long callers may keep an entries answer.
+	TTL time.Duration
+	// DomainOut reports whether operators have taken a failure domain out.
+	DomainOut func(failureDomain string) bool
+}
+
 // Members follows the instance list. It is safe for concurrent use.
 type Members struct {
-	self   platform.Instance
-	source Source
-	table  *backends.Table
-	ttl    time.Duration
+	config Config
 
 	mu      sync.Mutex
 	entries []platform.Instance
+	servers []backends.Server
 	leaving bool
 	reached bool
 }
 
 // New returns members of which only self is known.
-func New(self platform.Instance, source Source, table *backends.Table, ttl time.Duration) *Members {
-	return &Members{self: self, source: source, table: table, ttl: ttl, reached: true}
+func New(config Config) *Members {
+	return &Members{config: config, reached: true}
 }
 
 // Run polls the instance list until ctx ends.
@@ -60,17 +88,18 @@
 }
 
 // Poll reads the instance list once. While it can't be read, the last list
-// stays in use.
+// stays in use, with what other instances spread.
 func (m *Members) Poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, PollInterval)
 	defer cancel()
-	list, err := m.source.Instances(ctx)
+	list, err := m.config.Source.Instances(ctx)
 	m.noteReached(err)
 	if err != nil {
 		pollFailures.Add(1)
-		return
+	} else {
+		m.take(list)
 	}
-	m.apply(list)
+	m.applyServers()
 }
 
 func (m *Members) noteReached(err error) {
@@ -88,71 +117,89 @@
 	logrus.Info("instance list can be read again")
 }
 
-func (m *Members) apply(list *platform.InstanceList) {
+func (m *Members) take(list *platform.InstanceList) {
 	var servers []backends.Server
 	var entryInstances []platform.Instance
 	for _, instance := range list.Instances {
 		if instance.Role == platform.RoleEntry {
 			entryInstances = append(entryInstances, instance)
-			continue
+		} else {
+			servers = append(servers, serverOf(instance))
 		}
-		servers = append(servers, backends.Server{
-			ID:            instance.ID,
-			Address:       instance.Address,
-			Role:          instance.Role,
-			Serves:        instance.Serves,
-			FailureDomain: instance.FailureDomain,
-			Leaving:       instance.State != platform.InstanceLive,
-			Incarnation:   instance.Incarnation,
-		})
 	}
-	m.table.Apply(servers)
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.entries = entryInstances
+	m.entries, m.servers = entryInstances, servers
+	m.mu.Unlock()
+	m.config.Gossip.Join(membersOf(entryInstances))
+	for _, server := range servers {
+		m.spreadLeaving(&server)
+	}
 }
 
-// Leave takes this instance out of the entries answer for good.
-func (m *Members) Leave() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.leaving = true
+func serverOf(instance platform.Instance) backends.Server {
+	return backends.Server{
+		ID:            instance.ID,
+		Address:       instance.Address,
+		Role:          instance.Role,
+		Serves:        instance.Serves,
+		FailureDomain: instance.FailureDomain,
+		Leaving:       instance.State != platform.InstanceLive,
+		Incarnation:   instance.Incarnation,
+	}
 }
 
-// Entries answers which entry instances callers may use. This instance knows
-// of itself whether it stays; of the others it knows what the list says.
-func (m *Members) Entries() entries.Answer {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	answer := entries.Answer{Entries: []entries.Entry{}, TTLMillis: m.ttl.Milliseconds()}
-	if !m.leaving {
-		answer.Entries = append(answer.Entries, entryOf(m.self))
-	}
-	for _, instance := range m.entries {
-		if instance.ID != m.self.ID && instance.State == platform.InstanceLive {
-			answer.Entries = append(answer.Entries, entryOf(instance))
+func membersOf(instances []platform.Instance) []gossip.Member {
+	var members []gossip.Member
+	for _, instance := range instances {
+		if instance.State == platform.InstanceLive && instance.ControlAddress != "" {
+			members = append(members, gossip.Member{
+				ID: instance.ID, Control: instance.ControlAddress, Callers: instance.Address, FailureDomain: instance.FailureDomain,
+			})
 		}
 	}
-	return answer
+	return members
 }
 
-func entryOf(instance platform.Instance) entries.Entry {
-	return entries.Entry{Address: instance.Address, Weight: entryWeight, FailureDomain: instance.FailureDomain}
+// spreadLeaving tells the other instances, whose lists may lag more, that a
+// backend server leaves. The value names the incarnation that leaves.
+func (m *Members) spreadLeaving(server *backends.Server) {
+	if !server.Leaving || m.hintedLeaving(server) {
+		return
+	}
+	m.config.Gossip.Publish(gossip.KindLeaving, server.ID, []byte(server.Incarnation), 0, true)
+}
+
+// hintedLeaving reports whether an instance saw the server leave of late.
+func (m *Members) hintedLeaving(server *backends.Server) bool {
+	entry, observed, ok := m.config.Gossip.Get(gossip.KindLeaving, server.ID)
+	return ok && string(entry.Value) == server.Incarnation && time.Since(observed) < leavingHintLife
 }
 
-// EntryIDs returns the IDs of the live entry instances, this one included
-// unless it leaves.
-func (m *Members) EntryIDs() []string {
+// applyServers puts the list of backend servers in force.
+func (m *Members) applyServers() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	ids := []string{}
-	if !m.leaving {
-		ids = append(ids, m.self.ID)
+	listed := m.servers
+	m.mu.Unlock()
+	servers := make([]backends.Server, len(listed))
+	for i, server := range listed {
+		server.Leaving = server.Leaving || m.hintedLeaving(&server)
+		servers[i] = server
 	}
-	for _, instance := range m.entries {
-		if instance.ID != m.self.ID && instance.State == platform.InstanceLive {
-			ids = append(ids, instance.ID)
-		}
+	m.config.Table.Apply(servers)
+}
+
+// OnEntry takes notice of a spread entry; a leaving server is barred at once.
+func (m *Members) OnEntry(entry gossip.Entry) {
+	if entry.Kind == gossip.KindLeaving {
+		m.applyServers()
 	}
-	return ids
+}
+
+// Leave takes this instance out of the entries answer for good and tells the
+// others at once.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.config.Gossip.Leave()
 }
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -10,6 +10,7 @@
 	"medlarslip/internal/coordination/claims"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/coordination/gossip"
 	"medlarslip/internal/coordination/membership"
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/state/backends"
@@ -41,6 +42,7 @@
 	peerClient   *peer.Client
 	store        *configuration.Store
 	table        *backends.Table
+	gossip       *gossip.Node
 	members      *membership.Members
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -1,6 +1,9 @@
 package instance
 
 import (
+	"time"
+
+	"medlarslip/internal/coordination/gossip"
 	"medlarslip/internal/coordination/membership"
 	"medlarslip/internal/protocol/platform"
 )
@@ -18,6 +21,29 @@
 		State:          platform.InstanceLive,
 		Incarnation:    a.incarnation,
 	}
-	a.members = membership.New(self, a.platform, a.table, s.Drain.EntriesTTL())
-	a.followers = append(a.followers, a.members.Run)
+	a.gossip = gossip.New(gossip.Config{
+		Self: gossip.Member{
+			ID: s.Instance, Control: s.Listen.Peers, Callers: s.Listen.Callers, FailureDomain: s.FailureDomain,
+		},
+		Run:       a.incarnation,
+		Transport: gossipTransport{a.peerClient},
+		OnEntry:   a.onEntry,
+	})
+	handleGossip(a.peerServer, a.gossip)
+	a.members = membership.New(membership.Config{
+		Self: self, Source: a.platform, Gossip: a.gossip, Table: a.table,
+		TTL: s.Drain.EntriesTTL(), DomainOut: a.domainOut,
+	})
+	a.followers = append(a.followers, a.members.Run, a.gossip.Run)
+}
+
+// domainOut reports whether operators have taken a failure domain out.
+func (a *assembly) domainOut(failureDomain string) bool {
+	config := a.store.Current()
+	return config != nil && config.Index.DomainOut(failureDomain)
+}
+
+// onEntry passes spread entries on to the parts that they concern.
+func (a *assembly) onEntry(entry gossip.Entry, _ time.Time) {
+	a.members.OnEntry(entry)
 }
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -29,6 +29,8 @@
 	Waiting int
 	// CacheUse is the share of the KV cache in use, 0 to 1.
 	CacheUse float64
+	// Started identifies the run of the server's process; 0 if unknown.
+	Started uint32
 	// ReadAt is when the report was read, on the monotonic clock.
 	ReadAt time.Time
 }
@@ -104,10 +106,20 @@
 	b.latency += time.Duration(latencyWeight * float64(took-b.latency))
 }
 
-// SetLoad notes a load report.
+// Cancel takes back a call that was begun and never sent.
+func (b *Backend) Cancel() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight--
+}
+
+// SetLoad notes a load report, unless a later one is known.
 func (b *Backend) SetLoad(load Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if load.ReadAt.Before(b.load.ReadAt) {
+		return
+	}
 	b.load = load
 }
 
@@ -156,6 +168,13 @@
 	t.byTarget.Store(&byTarget)
 }
 
+// Get returns the server of the given ID, or nil.
+func (t *Table) Get(id string) *Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byID[id]
+}
+
 // Serving returns the servers of a version or plain service. The slice must
 // not be changed.
 func (t *Table) Serving(target string) []*Backend {
