Grant slots on cold backend servers by a holder of a lease

Each instance took its share of the limit by its own list, so instances with unlike lists together sent more than a cold server bears, and warmth was counted by each alone. A lease on the log now names one holder for each cold server; it grants slots, counts a lost one until it must have ended, and raises the bound as answers come well. A new holder waits the old lease out. Warmth is spread by gossip; failures, a new run or a failure domain taken out make a server cold again.

--- /dev/null
+++ b/internal/coordination/coldstart/slots.go
@@ -0,0 +1,225 @@
+package coldstart
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/state/backends"
+)
+
+const kindWarmth = gossip.KindWarmth
+
+// Methods by which entry instances ask the holder of a lease.
+const (
+	MethodAcquire = "cold.acquire"
+	MethodRelease = "cold.release"
+)
+
+// AcquireRequest asks the holder for a slot.
+type AcquireRequest struct {
+	Server string `json:"server"`
+}
+
+// AcquireAnswer holds a slot, or says why there is none.
+type AcquireAnswer struct {
+	Slot *Slot `json:"slot,omitempty"`
+	// BoundReached is true where the server bears no more for now.
+	BoundReached bool `json:"bound_reached,omitempty"`
+}
+
+// ReleaseRequest gives a slot back to the holder.
+type ReleaseRequest struct {
+	Slot       Slot  `json:"slot"`
+	TookMicros int64 `json:"took_us"`
+	Good       bool  `json:"good"`
+	// Unused is true where no call was sent.
+	Unused bool `json:"unused,omitempty"`
+}
+
+// ask gets a slot from the holder of the lease and checks it.
+func (p *Policy) ask(ctx context.Context, index *document.Index, server *backends.Snapshot) (Slot, error) {
+	askedAt := time.Now()
+	p.mu.Lock()
+	holder, ok := p.grantor.holder(server.Server.ID)
+	p.mu.Unlock()
+	if !ok {
+		return Slot{}, merry.Prepend(ErrNoLease, server.Server.ID)
+	}
+	slot, err := p.askHolder(ctx, holder.instance, index, server)
+	if err != nil {
+		return Slot{}, err
+	}
+	p.mu.Lock()
+	err = p.grantor.accept(slot, askedAt, time.Now())
+	p.mu.Unlock()
+	if err != nil {
+		p.giveBack(&ReleaseRequest{Slot: slot, Unused: true})
+	}
+	return slot, err
+}
+
+func (p *Policy) askHolder(ctx context.Context, holder string, index *document.Index, server *backends.Snapshot) (Slot, error) {
+	if holder == p.config.Instance {
+		return p.grant(index, server)
+	}
+	address, ok := p.config.Members.ControlAddress(holder)
+	if !ok {
+		return Slot{}, merry.Prependf(ErrNoLease, "holder %s of %s is not known", holder, server.Server.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	var answer AcquireAnswer
+	err := p.config.Peers.Call(ctx, address, MethodAcquire, AcquireRequest{Server: server.Server.ID}, &answer)
+	switch {
+	case err != nil:
+		return Slot{}, merry.Prependf(ErrNoLease, "%s: %v", server.Server.ID, err)
+	case answer.BoundReached:
+		return Slot{}, merry.Prepend(ErrBoundReached, server.Server.ID)
+	case answer.Slot == nil:
+		return Slot{}, merry.Prepend(ErrNoLease, server.Server.ID)
+	default:
+		return *answer.Slot, nil
+	}
+}
+
+// grant decides as the holder.
+func (p *Policy) grant(index *document.Index, server *backends.Snapshot) (Slot, error) {
+	limit := limitOf(index, &server.Server)
+	if limit == nil {
+		return Slot{}, merry.Prependf(ErrNoLease, "%s has no cold limit", server.Server.ID)
+	}
+	run := serverRun{server.Server.Incarnation, server.Load.Started}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slot, err := p.grantor.grant(server.Server.ID, run, limit, time.Now())
+	if err == nil {
+		grantedSlots.Add(1)
+	}
+	return slot, err
+}
+
+// HandleAcquire answers another instance's request for a slot.
+func (p *Policy) HandleAcquire(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var request AcquireRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, err
+	}
+	backend, index := p.config.Table.Get(request.Server), p.config.Index()
+	if backend == nil || index == nil {
+		return AcquireAnswer{}, nil
+	}
+	server := backend.Snapshot()
+	slot, err := p.grant(index, &server)
+	if err != nil {
+		return AcquireAnswer{BoundReached: errors.Is(err, ErrBoundReached)}, nil
+	}
+	return AcquireAnswer{Slot: &slot}, nil
+}
+
+// HandleRelease takes a slot back from another instance.
+func (p *Policy) HandleRelease(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var request ReleaseRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, err
+	}
+	p.returned(&request)
+	return struct{}{}, nil
+}
+
+// giveBack returns a slot to its holder. If that fails, the holder counts the
+// slot until it ends.
+func (p *Policy) giveBack(request *ReleaseRequest) {
+	p.mu.Lock()
+	holder, ok := p.grantor.holder(request.Slot.Server)
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	if holder.instance == p.config.Instance {
+		p.returned(request)
+		return
+	}
+	address, ok := p.config.Members.ControlAddress(holder.instance)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), useWithin)
+		defer cancel()
+		_ = p.config.Peers.Call(ctx, address, MethodRelease, request, nil)
+	}()
+}
+
+// returned notes the outcome of a granted call as the holder.
+func (p *Policy) returned(request *ReleaseRequest) {
+	p.mu.Lock()
+	warm := p.grantor.returned(request)
+	p.mu.Unlock()
+	if !warm {
+		return
+	}
+	if backend := p.config.Table.Get(request.Slot.Server); backend != nil {
+		server := backend.Snapshot()
+		if !server.Warm() {
+			p.setWarmth(&server, true, "answers came well up to full load")
+		}
+	}
+}
+
+const (
+	// troubleLimit is the number of troubled calls in a row after which a
+	// warm server counts as cold again.
+	troubleLimit = 3
+	// coolingPause is the shortest time between two servers that one instance
+	// declares cold, so that one with a bad network does little harm.
+	coolingPause = 2 * time.Second
+	// slowJump is the multiple of the mean time of a good answer, and
+	// slowFloor the least time, from which an answer counts as troubled.
+	slowJump  = 8
+	slowFloor = time.Second
+)
+
+// observe watches a warm server for signs that it has turned cold.
+func (p *Policy) observe(id string, took time.Duration, good bool) {
+	backend := p.config.Table.Get(id)
+	if backend == nil {
+		return
+	}
+	server := backend.Snapshot()
+	slow := server.Latency > 0 && took > max(slowJump*server.Latency, slowFloor)
+	p.mu.Lock()
+	if good && !slow {
+		delete(p.trouble, id)
+		p.mu.Unlock()
+		return
+	}
+	p.trouble[id]++
+	cool := p.trouble[id] >= troubleLimit && server.Warm() && p.mayAccuseLocked()
+	if cool {
+		delete(p.trouble, id)
+		p.cooledAt = time.Now()
+	}
+	p.mu.Unlock()
+	if cool {
+		p.setWarmth(&server, false, "answers turned bad or slow")
+	}
+}
+
+// mayAccuseLocked reports whether this instance may declare a server cold: it
+// distrusts itself where most servers seem troubled to it.
+func (p *Policy) mayAccuseLocked() bool {
+	troubled := 0
+	for _, count := range p.trouble {
+		if count >= troubleLimit {
+			troubled++
+		}
+	}
+	most := 2*troubled > len(p.config.Table.All())
+	return !(most && troubled > 1) && time.Since(p.cooledAt) >= coolingPause
+}
--- a/internal/coordination/dispatch/chat.go
+++ b/internal/coordination/dispatch/chat.go
@@ -100,7 +100,7 @@
 	var exclude []string
 	lastErr := attempt.ErrNoServer
 	for n := range maxAttempts {
-		server := r.acquire(u, step.VersionID, exclude)
+		server := r.acquire(ctx, u, step.VersionID, exclude)
 		if server == nil {
 			break
 		}
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"medlarslip/internal/coordination/claims"
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/session"
@@ -40,8 +41,15 @@
 // ColdPolicy bounds calls to backend servers that have just started.
 type ColdPolicy interface {
 	// Bound returns how many calls this instance may have in flight to the
-	// server; negative where the server is warm.
+	// server; negative where the server is warm. Where it is positive, each
+	// call also needs a slot.
 	Bound(index *document.Index, server *backends.Snapshot) int
+	// Acquire returns a slot for one call that ends with ctx, or an error
+	// where the server may not be called now.
+	Acquire(ctx context.Context, index *document.Index, server *backends.Snapshot) (coldstart.Slot, error)
+	// Release takes notice of the outcome of a call to any server and gives
+	// back its slot, which is zero for a warm server.
+	Release(slot coldstart.Slot, server string, took time.Duration, good bool)
 }
 
 // Sample is the outcome of one step, by which roll-outs and cascades learn.
@@ -99,11 +107,12 @@
 	id      string
 	address string
 	started time.Time
+	slot    coldstart.Slot
 }
 
 // acquire chooses a backend server and begins a call on it. It returns nil
 // where none may take the work.
-func (r *Router) acquire(run *run, target string, exclude []string) *acquired {
+func (r *Router) acquire(ctx context.Context, run *run, target string, exclude []string) *acquired {
 	servers := r.Table.Serving(target)
 	for range maxAttempts {
 		snapshots := make([]backends.Snapshot, len(servers))
@@ -117,13 +126,28 @@
 			return nil
 		}
 		backend := servers[decision.Picked]
-		if backend.Begin(chosen.ColdBound) {
-			return &acquired{backend: backend, id: chosen.Server.Server.ID, address: chosen.Server.Server.Address, started: r.Now()}
+		if !backend.Begin(chosen.ColdBound) {
+			continue
 		}
+		slot, err := r.coldSlot(ctx, run, chosen)
+		if err == nil {
+			return &acquired{backend: backend, id: chosen.Server.Server.ID, address: chosen.Server.Server.Address, started: r.Now(), slot: slot}
+		}
+		backend.Cancel()
+		run.attempted(err.Error())
 	}
 	return nil
 }
 
+// coldSlot returns the slot that a call to a cold server needs; for a warm
+// server it returns the zero slot.
+func (r *Router) coldSlot(ctx context.Context, run *run, chosen *routing.Candidate) (coldstart.Slot, error) {
+	if chosen.ColdBound <= 0 {
+		return coldstart.Slot{}, nil
+	}
+	return r.Cold.Acquire(ctx, run.index, &chosen.Server)
+}
+
 func (r *Router) routingRequest(run *run, target string, exclude []string) *routing.Request {
 	return &routing.Request{
 		Target:        target,
@@ -142,5 +166,7 @@
 }
 
 func (r *Router) release(a *acquired, good bool) {
-	a.backend.End(r.Now().Sub(a.started), good)
+	took := r.Now().Sub(a.started)
+	a.backend.End(took, good)
+	r.Cold.Release(a.slot, a.id, took, good)
 }
--- a/internal/coordination/dispatch/service.go
+++ b/internal/coordination/dispatch/service.go
@@ -98,7 +98,7 @@
 	var exclude []string
 	var lastErr error
 	for range maxAttempts {
-		server := r.acquire(u, call.Service.Name, exclude)
+		server := r.acquire(ctx, u, call.Service.Name, exclude)
 		if server == nil {
 			break
 		}
--- a/internal/coordination/dispatch/stream.go
+++ b/internal/coordination/dispatch/stream.go
@@ -114,7 +114,7 @@
 
 // connect opens the stream on a server that has not failed this request.
 func (s *ChatStream) connect(body map[string]json.RawMessage) error {
-	s.server = s.router.acquire(s.run, s.step.VersionID, s.exclude)
+	s.server = s.router.acquire(s.ctx, s.run, s.step.VersionID, s.exclude)
 	if s.server == nil {
 		return attempt.ErrNoServer
 	}
--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -1,8 +1,6 @@
 package membership
 
 import (
-	"slices"
-
 	"medlarslip/internal/coordination/gossip"
 	"medlarslip/internal/protocol/entries"
 	"medlarslip/internal/protocol/platform"
@@ -36,8 +34,15 @@
 	return ids
 }
 
-// Live reports whether an entry instance lives.
-func (m *Members) Live(id string) bool { return slices.Contains(m.EntryIDs(), id) }
+// ControlAddress returns where a live entry instance listens to its peers.
+func (m *Members) ControlAddress(id string) (string, bool) {
+	for _, member := range m.live() {
+		if member.ID == id {
+			return member.Control, true
+		}
+	}
+	return "", false
+}
 
 // live returns the entry instances that live. Of itself this instance knows
 // whether it stays. Of another, gossip tells it as soon as it dies or leaves;
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -8,6 +8,7 @@
 
 	"medlarslip/internal/coordination/billing"
 	"medlarslip/internal/coordination/claims"
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/eventlog"
 	"medlarslip/internal/coordination/gossip"
@@ -44,6 +45,7 @@
 	table        *backends.Table
 	gossip       *gossip.Node
 	members      *membership.Members
+	cold         *coldstart.Policy
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
 	explanations *requests.Log
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/gossip"
 	"medlarslip/internal/coordination/membership"
+	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/platform"
 )
 
@@ -34,16 +36,37 @@
 		Self: self, Source: a.platform, Gossip: a.gossip, Table: a.table,
 		TTL: s.Drain.EntriesTTL(), DomainOut: a.domainOut,
 	})
-	a.followers = append(a.followers, a.members.Run, a.gossip.Run)
+	a.cold = coldstart.New(coldstart.Config{
+		Instance: s.Instance, Incarnation: a.incarnation, Log: a.log, Members: a.members, Gossip: a.gossip,
+		Peers: a.peerClient, Table: a.table, Index: a.index, LongestCall: s.Drain.LongestRequest(),
+	})
+	a.peerServer.Handle(coldstart.MethodAcquire, a.cold.HandleAcquire)
+	a.peerServer.Handle(coldstart.MethodRelease, a.cold.HandleRelease)
+	a.followers = append(a.followers, a.members.Run, a.gossip.Run, a.cold.Run)
+}
+
+// leave tells callers and the other instances that this instance is to stop.
+func (a *assembly) leave() {
+	a.members.Leave()
+	a.cold.Leave()
+}
+
+// index returns the document in force, or nil.
+func (a *assembly) index() *document.Index {
+	if config := a.store.Current(); config != nil {
+		return config.Index
+	}
+	return nil
 }
 
 // domainOut reports whether operators have taken a failure domain out.
 func (a *assembly) domainOut(failureDomain string) bool {
-	config := a.store.Current()
-	return config != nil && config.Index.DomainOut(failureDomain)
+	index := a.index()
+	return index != nil && index.DomainOut(failureDomain)
 }
 
 // onEntry passes spread entries on to the parts that they concern.
 func (a *assembly) onEntry(entry gossip.Entry, _ time.Time) {
 	a.members.OnEntry(entry)
+	a.cold.OnEntry(entry)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -32,7 +32,7 @@
 	}
 	in := &Instance{parts: parts}
 	in.drainer = drain.New(drain.Steps{
-		Leave:          parts.members.Leave,
+		Leave:          parts.leave,
 		Shutdown:       func(ctx context.Context) error { return in.callers.ShutdownWithContext(ctx) },
 		EntriesTTL:     s.Drain.EntriesTTL(),
 		LongestRequest: s.Drain.LongestRequest(),
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/session"
@@ -22,7 +21,7 @@
 		Rater:         a.platform,
 		Bookings:      a.bookings,
 		Biller:        a.bills,
-		Cold:          coldstart.New(a.settings.Instance, a.members.EntryIDs),
+		Cold:          a.cold,
 		Learner:       &rollout.Watcher{},
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
 		Explanations:  a.explanations,
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -28,6 +28,8 @@
 	StreamClaims = "claims"
 	// StreamBilling holds billing records.
 	StreamBilling = "billing"
+	// StreamLeases holds the leases on cold backend servers.
+	StreamLeases = "leases"
 )
 
 // AppendRequest appends records to a stream in the given order.
--- a/internal/protocol/records/records.go
+++ b/internal/protocol/records/records.go
@@ -95,3 +95,23 @@
 	// Result says how the step ended, such as accepted or below_target.
 	Result string `json:"result"`
 }
+
+// Lease is a record of the leases stream. It makes its writer the one instance
+// that grants slots on a cold backend server. Its offset is the fencing number
+// of what is granted under it. It takes effect only if it is based on the
+// lease in force at its place in the stream.
+type Lease struct {
+	Writer Writer `json:"writer"`
+	Server string `json:"server"`
+	// Previous is the offset of the lease that the writer saw in force, or
+	// NoLease.
+	Previous int64 `json:"previous"`
+	// ReadFrom is the lowest offset from which the writer has read the stream
+	// without a gap.
+	ReadFrom int64 `json:"read_from"`
+	// Released gives the lease up; no slot granted under it is in use.
+	Released bool `json:"released,omitempty"`
+}
+
+// NoLease is the Previous of a Lease that replaces none.
+const NoLease = -1
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -35,11 +35,22 @@
 	ReadAt time.Time
 }
 
+// Warmth is what the fleet says of whether a backend server is warm.
+type Warmth struct {
+	// Warm is true once the server has shown that it bears full load.
+	Warm bool
+	// Incarnation and Started name the run of the server that this is about;
+	// Started is 0 if unknown.
+	Incarnation string
+	Started     uint32
+}
+
 // Backend is one backend server with the state that this instance keeps.
 type Backend struct {
 	mu       sync.Mutex
 	server   Server
 	load     Load
+	warmth   Warmth
 	inFlight int
 	answered int
 	failures int
@@ -50,6 +61,7 @@
 type Snapshot struct {
 	Server   Server
 	Load     Load
+	Warmth   Warmth
 	InFlight int
 	// Answered counts good answers since the server started.
 	Answered int
@@ -66,6 +78,7 @@
 	return Snapshot{
 		Server:   b.server,
 		Load:     b.load,
+		Warmth:   b.warmth,
 		InFlight: b.inFlight,
 		Answered: b.answered,
 		Failures: b.failures,
@@ -133,6 +146,20 @@
 	b.server = server
 }
 
+// SetWarmth notes what the fleet says of the warmth of the server.
+func (b *Backend) SetWarmth(warmth Warmth) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warmth = warmth
+}
+
+// Warm reports whether the run of the server that answers now is known to be
+// warm.
+func (s *Snapshot) Warm() bool {
+	sameRun := s.Warmth.Started == 0 || s.Load.Started == 0 || s.Warmth.Started == s.Load.Started
+	return s.Warmth.Warm && s.Warmth.Incarnation == s.Server.Incarnation && sameRun
+}
+
 // Table holds all backend servers.
 type Table struct {
 	mu       sync.Mutex
