--- a/internal/coordination/coldstart/policy_test.go
+++ b/internal/coordination/coldstart/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,8 +22,10 @@
 
 // testFleet is a fleet of policies that call each other in one process.
 type testFleet struct {
-	t        *testing.T
-	log      *logservice.Service
+	t   *testing.T
+	log *logservice.Service
+
+	mu       sync.Mutex
 	index    *document.Index
 	policies map[string]*Policy
 	alive    []string
@@ -31,25 +34,48 @@
 	stops    map[string]context.CancelFunc
 }
 
-func (f *testFleet) EntryIDs() []string { return f.alive }
+func (f *testFleet) EntryIDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.alive
+}
+
+func (f *testFleet) document() *document.Index {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.index
+}
+
+func (f *testFleet) setDocument(index *document.Index) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index = index
+}
 
 func (f *testFleet) ControlAddress(id string) (string, bool) { return id, true }
 
 func (f *testFleet) Publish(kind gossip.Kind, key string, value []byte, _ time.Duration, _ bool) {
 	entry := gossip.Entry{Kind: kind, Key: key, Value: value}
+	f.mu.Lock()
 	f.marks[key] = entry
-	for _, p := range f.policies {
+	policies := maps.Clone(f.policies)
+	f.mu.Unlock()
+	for _, p := range policies {
 		p.OnEntry(entry)
 	}
 }
 
 func (f *testFleet) Get(_ gossip.Kind, key string) (gossip.Entry, time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	entry, ok := f.marks[key]
 	return entry, time.Now(), ok
 }
 
 func (f *testFleet) Call(ctx context.Context, address, method string, params, result any) error {
+	f.mu.Lock()
 	p, ok := f.policies[address]
+	f.mu.Unlock()
 	if !ok {
 		<-ctx.Done()
 		return ctx.Err()
@@ -103,14 +129,18 @@
 	table.Apply([]backends.Server{{ID: "s", Serves: []string{"v"}, FailureDomain: "a", Incarnation: "1"}})
 	p := New(Config{
 		Instance: id, Incarnation: incarnation, Log: f.log, Members: f, Gossip: f, Peers: f, Table: table,
-		Index: func() *document.Index { return f.index }, LongestCall: testLongestCall,
+		Index: f.document, LongestCall: testLongestCall,
 	})
 	ctx, stop := context.WithCancel(context.Background())
+	f.mu.Lock()
 	f.policies[id], f.stops[id] = p, stop
+	f.mu.Unlock()
 	f.runs.Go(func() { _ = p.Run(ctx) })
 }
 
 func (f *testFleet) kill(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.stops[id]()
 	delete(f.policies, id)
 	var alive []string
@@ -148,12 +178,18 @@
 
 func (f *testFleet) holder() string {
 	for _, p := range f.policies {
-		holder, _ := p.grantor.holder("s")
+		holder, _ := p.holderOf("s")
 		return holder.instance
 	}
 	return ""
 }
 
+func (p *Policy) holderOf(server string) (holderID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.grantor.holder(server)
+}
+
 // ramp answers well until the server counts as warm.
 func (f *testFleet) ramp() {
 	for range 200 {
@@ -209,9 +245,9 @@
 			}
 		}},
 		{"failure domain is taken out", func(f *testFleet) {
-			f.index = testDocument(true)
+			f.setDocument(testDocument(true))
 			time.Sleep(2 * tickInterval)
-			f.index = testDocument(false)
+			f.setDocument(testDocument(false))
 		}},
 		{"process starts again", func(f *testFleet) {
 			for _, p := range f.policies {
