Watch the load of backend servers from a few instances each

No instance knew the load of a server besides its own calls. Up to three instances, ranked by rendezvous hashing, now read the metrics of each server and spread what changed with its age; the time between two reads grows with the number of servers, so that reads in the whole fleet stay at 60 a second. Where a version has more than 24 servers, an instance sends work to an arc of them only. All instances asking all servers was ruled out: 410 times 600 pairs.

The stand-in engine falls over above a bound while cold and can turn cold without notice.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -26,6 +26,8 @@
 	tokens := flag.Int("tokens", 40, "tokens of one answer")
 	tokenTime := flag.Duration("token-time", 5*time.Millisecond, "time between two tokens")
 	running := flag.Int("running", 32, "requests that run at once")
+	coldLimit := flag.Int("cold-limit", 0, "requests at once that a cold engine bears; 0 for any number")
+	coldAnswers := flag.Int("cold-answers", 20, "good answers after which an engine is warm")
 	flag.Parse()
 	config := engineserver.Config{
 		Versions:   strings.Split(*versions, ","),
@@ -33,6 +35,9 @@
 		TokenTime:  *tokenTime,
 		MaxRunning: *running,
 		Resumable:  true,
+
+		ColdLimit:   *coldLimit,
+		ColdAnswers: *coldAnswers,
 	}
 	if err := run(*listen, *role, config); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/coordination/gossip/node.go
+++ b/internal/coordination/gossip/node.go
@@ -197,12 +197,14 @@
 	return st.entry, st.observed, true
 }
 
-// Prune forgets the entries of a kind that keep does not want.
-func (n *Node) Prune(kind Kind, keep func(key string) bool) {
+// Prune forgets the entries of a kind that are older than an age and that keep
+// does not want.
+func (n *Node) Prune(kind Kind, olderThan time.Duration, keep func(key string) bool) {
+	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.entries.all(kind, func(st *stored) {
-		if !keep(st.entry.Key) {
+		if now.Sub(st.observed) > olderThan && !keep(st.entry.Key) {
 			n.entries.remove(kind, st.entry.Key)
 		}
 	})
--- /dev/null
+++ b/internal/coordination/loadwatch/loadwatch_test.go
@@ -0,0 +1,214 @@
+package loadwatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/state/backends"
+)
+
+// engines are servers whose load a test sets.
+type engines struct {
+	mu      sync.Mutex
+	running map[string]int
+	down    bool
+	reads   int
+}
+
+func (e *engines) Load(_ context.Context, address string) (backends.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reads++
+	if e.down {
+		return backends.Load{}, errors.New("down")
+	}
+	return backends.Load{Running: e.running[address], Started: 7, ReadAt: time.Now()}, nil
+}
+
+func (e *engines) set(change func(*engines)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+// spread is gossip that reaches all watchers at once.
+type spread struct {
+	mu       sync.Mutex
+	entries  map[string]gossip.Entry
+	observed map[string]time.Time
+	count    int
+	watchers []*Watcher
+}
+
+func (s *spread) Publish(kind gossip.Kind, key string, value []byte, ageOf time.Duration, _ bool) {
+	entry, observed := gossip.Entry{Kind: kind, Key: key, Value: value}, time.Now().Add(-ageOf)
+	s.mu.Lock()
+	s.entries[key], s.observed[key] = entry, observed
+	s.count++
+	s.mu.Unlock()
+	for _, w := range s.watchers {
+		w.OnEntry(entry, observed)
+	}
+}
+
+func (s *spread) Get(_ gossip.Kind, key string) (gossip.Entry, time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.entries[key]
+	return entry, s.observed[key], ok
+}
+
+// fleet is instances that watch servers.
+type fleet struct {
+	engines *engines
+	spread  *spread
+	live    []string
+	stops   []context.CancelFunc
+	tables  []*backends.Table
+}
+
+func inFleet(t *testing.T, instances, servers int, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{
+			engines: &engines{running: map[string]int{}},
+			spread:  &spread{entries: map[string]gossip.Entry{}, observed: map[string]time.Time{}},
+		}
+		var list []backends.Server
+		for i := range servers {
+			id := fmt.Sprintf("s%d", i)
+			list = append(list, backends.Server{ID: id, Address: id, Serves: []string{"v"}})
+		}
+		var runs sync.WaitGroup
+		for i := range instances {
+			f.live = append(f.live, fmt.Sprintf("e%d", i))
+		}
+		for _, id := range f.live {
+			table := backends.NewTable()
+			table.Apply(list)
+			w := New(Config{Self: id, EntryIDs: func() []string { return f.live }, Table: table, Reader: f.engines, Gossip: f.spread})
+			f.spread.watchers = append(f.spread.watchers, w)
+			f.tables = append(f.tables, table)
+		}
+		for _, w := range f.spread.watchers {
+			ctx, stop := context.WithCancel(context.Background())
+			f.stops = append(f.stops, stop)
+			runs.Go(func() { _ = w.Run(ctx) })
+		}
+		defer runs.Wait()
+		defer func() {
+			for _, stop := range f.stops {
+				stop()
+			}
+		}()
+		test(f)
+	})
+}
+
+// counts returns how many reads and spread entries there were.
+func (f *fleet) counts() (reads, spreads int) {
+	f.engines.set(func(e *engines) { reads = e.reads })
+	f.spread.mu.Lock()
+	defer f.spread.mu.Unlock()
+	return reads, f.spread.count
+}
+
+// loads returns the load of a server as all instances know it.
+func (f *fleet) loads(server string) []backends.Load {
+	var all []backends.Load
+	for _, table := range f.tables {
+		all = append(all, table.Get(server).Snapshot().Load)
+	}
+	return all
+}
+
+func TestAllInstancesKnowTheLoadThatOneReads(t *testing.T) {
+	inFleet(t, 9, 30, func(f *fleet) {
+		f.engines.set(func(e *engines) { e.running["s3"] = 12 })
+		time.Sleep(3 * time.Second)
+		for _, load := range f.loads("s3") {
+			must.Eq(t, 12, load.Running)
+			must.Eq(t, uint32(7), load.Started)
+			must.LessEq(t, 3*time.Second, time.Since(load.ReadAt))
+		}
+	})
+}
+
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, instances := range []int{3, 30} {
+		inFleet(t, instances, 120, func(f *fleet) {
+			time.Sleep(20 * time.Second)
+			reads, spreads := f.counts()
+			time.Sleep(time.Minute)
+			readsLater, spreadsLater := f.counts()
+			must.LessEq(t, 60*readsPerSecond, readsLater-reads)
+			must.LessEq(t, 60*readsPerSecond/refreshPeriods+120, spreadsLater-spreads, must.Sprint("unchanged load is seldom spread"))
+		})
+	}
+}
+
+func TestAnotherWatcherTakesOver(t *testing.T) {
+	inFleet(t, 5, 4, func(f *fleet) {
+		time.Sleep(5 * time.Second)
+		for i, id := range f.live {
+			if rankOf(f.live, id, "s0") == 0 {
+				f.stops[i]() // its membership still lists it
+			}
+		}
+		time.Sleep(20 * time.Second)
+		f.engines.set(func(e *engines) { e.running["s0"] = 30 })
+		time.Sleep(10 * time.Second)
+		known := 0
+		for _, load := range f.loads("s0") {
+			if load.Running == 30 {
+				known++
+			}
+		}
+		must.Eq(t, 5, known)
+	})
+}
+
+func TestLoadOfASilentServerGrowsOld(t *testing.T) {
+	inFleet(t, 3, 2, func(f *fleet) {
+		time.Sleep(5 * time.Second)
+		f.engines.set(func(e *engines) { e.down = true })
+		time.Sleep(time.Minute)
+		for _, load := range f.loads("s0") {
+			must.GreaterEq(t, 55*time.Second, time.Since(load.ReadAt))
+		}
+	})
+}
+
+func TestEveryServerHasItsWatchers(t *testing.T) {
+	var ids []string
+	for i := range 50 {
+		ids = append(ids, fmt.Sprintf("e%d", i))
+	}
+	for s := range 100 {
+		var ranks [watchers]int
+		for _, id := range ids {
+			if rank := rankOf(ids, id, fmt.Sprint(s)); rank >= 0 {
+				ranks[rank]++
+			}
+		}
+		must.Eq(t, [watchers]int{1, 1, 1}, ranks)
+	}
+}
+
+func TestOlderLoadDoesNotReplaceNewer(t *testing.T) {
+	backend := &backends.Backend{}
+	now := time.Now()
+	backend.SetLoad(backends.Load{Running: 2, ReadAt: now})
+	entry := gossip.Entry{Kind: gossip.KindLoad, Value: encode(&backends.Load{Running: 9})}
+	apply(backend, &entry, now.Add(-time.Second))
+	must.Eq(t, 2, backend.Snapshot().Load.Running)
+	apply(backend, &gossip.Entry{Value: []byte("garbage")}, now.Add(time.Second))
+	must.Eq(t, 2, backend.Snapshot().Load.Running)
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -31,6 +31,9 @@
 	Leave()
 	// Publish spreads a value.
 	Publish(kind gossip.Kind, key string, value []byte, ageOf time.Duration, urgent bool)
+	// Prune forgets entries of a kind that are older than an age and not to
+	// be kept.
+	Prune(kind gossip.Kind, olderThan time.Duration, keep func(key string) bool)
 	// Get returns the value that is known under a key.
 	Get(kind gossip.Kind, key string) (gossip.Entry, time.Time, bool)
 }
@@ -41,6 +44,9 @@
 	// leavingHintLife is how long it counts that another instance saw a
 	// backend server leave. It covers the lag of the instance list.
 	leavingHintLife = time.Minute
+	// pruneAge is the age from which entries about servers that are not
+	// listed are forgotten.
+	pruneAge = 10 * time.Minute
 )
 
 var pollFailures = expvar.NewInt("instance_list_failures")
@@ -185,7 +191,20 @@
 		server.Leaving = server.Leaving || m.hintedLeaving(&server)
 		servers[i] = server
 	}
+	m.config.Table.SetPlace(backends.PlaceOf(m.config.Self.ID, m.EntryIDs()))
 	m.config.Table.Apply(servers)
+	m.prune(servers)
+}
+
+// prune forgets what was spread about servers that are gone.
+func (m *Members) prune(servers []backends.Server) {
+	known := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		known[server.ID] = true
+	}
+	for _, kind := range []gossip.Kind{gossip.KindLoad, gossip.KindWarmth, gossip.KindLeaving} {
+		m.config.Gossip.Prune(kind, pruneAge, func(key string) bool { return known[key] })
+	}
 }
 
 // OnEntry takes notice of a spread entry; a leaving server is barred at once.
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -12,6 +12,7 @@
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/eventlog"
 	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/coordination/loadwatch"
 	"medlarslip/internal/coordination/membership"
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/state/backends"
@@ -46,6 +47,7 @@
 	gossip       *gossip.Node
 	members      *membership.Members
 	cold         *coldstart.Policy
+	watcher      *loadwatch.Watcher
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
 	explanations *requests.Log
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -5,9 +5,11 @@
 
 	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/coordination/loadwatch"
 	"medlarslip/internal/coordination/membership"
 	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/transport/enginemetrics"
 )
 
 // addFleet adds the parts that know the other instances and the backend
@@ -43,6 +45,16 @@
 	a.peerServer.Handle(coldstart.MethodAcquire, a.cold.HandleAcquire)
 	a.peerServer.Handle(coldstart.MethodRelease, a.cold.HandleRelease)
 	a.followers = append(a.followers, a.members.Run, a.gossip.Run, a.cold.Run)
+	a.addLoadWatch()
+}
+
+// addLoadWatch adds the part that knows the load of the backend servers.
+func (a *assembly) addLoadWatch() {
+	a.watcher = loadwatch.New(loadwatch.Config{
+		Self: a.settings.Instance, EntryIDs: a.members.EntryIDs, Table: a.table,
+		Reader: enginemetrics.New(a.backendPool), Gossip: a.gossip,
+	})
+	a.followers = append(a.followers, a.watcher.Run)
 }
 
 // leave tells callers and the other instances that this instance is to stop.
@@ -66,7 +78,8 @@
 }
 
 // onEntry passes spread entries on to the parts that they concern.
-func (a *assembly) onEntry(entry gossip.Entry, _ time.Time) {
+func (a *assembly) onEntry(entry gossip.Entry, observed time.Time) {
 	a.members.OnEntry(entry)
 	a.cold.OnEntry(entry)
+	a.watcher.OnEntry(entry, observed)
 }
--- a/internal/standin/engineserver/engineserver.go
+++ b/internal/standin/engineserver/engineserver.go
@@ -55,6 +55,11 @@
 	SlowBy time.Duration
 	// Resumable engines number their events and resume after one.
 	Resumable bool
+	// ColdLimit is how many requests a cold engine bears at once; under more
+	// it answers 500 and starts again. 0 means any number.
+	ColdLimit int
+	// ColdAnswers is the number of good answers after which it is warm.
+	ColdAnswers int
 }
 
 // Engine is one model engine.
@@ -62,6 +67,7 @@
 	config  Config
 	running atomic.Int64
 	served  atomic.Int64
+	cold    *coldness
 
 	mu     sync.Mutex
 	faults func(request *openai.ChatRequest, attempt string) Fault
@@ -79,7 +85,7 @@
 }
 
 // New returns an engine without faults.
-func New(config Config) *Engine { return &Engine{config: config} }
+func New(config Config) *Engine { return &Engine{config: config, cold: newColdness(&config)} }
 
 // OnRequest sets the function that chooses the fault of each request.
 func (e *Engine) OnRequest(fault func(request *openai.ChatRequest, attempt string) Fault) {
@@ -124,6 +130,7 @@
 	fmt.Fprintf(ctx, "# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting %d\n", waiting)
 	fmt.Fprintf(ctx, "# TYPE vllm:kv_cache_usage_perc gauge\nvllm:kv_cache_usage_perc %g\n", min(float64(running)/float64(max(e.config.MaxRunning, 1)), 1))
 	fmt.Fprintf(ctx, "# TYPE vllm:request_success_total counter\nvllm:request_success_total %d\n", e.served.Load())
+	e.cold.writeMetrics(ctx)
 }
 
 func (e *Engine) chat(ctx *fasthttp.RequestCtx) {
@@ -157,6 +164,9 @@
 	defer e.mu.Unlock()
 	e.peak = max(e.peak, running)
 	e.calls = append(e.calls, Seen{Attempt: attempt, Model: request.Model, After: after, Messages: request.Messages})
+	if e.cold.fallsOver(running) {
+		return FaultError
+	}
 	if e.faults == nil {
 		return FaultNone
 	}
@@ -259,6 +269,7 @@
 		return
 	}
 	a.engine.served.Add(1)
+	a.engine.cold.answered()
 	ctx.SetContentType("application/json")
 	if a.fault == FaultCut {
 		half := bytes.NewReader(body[:len(body)/2])
--- a/internal/standin/engineserver/stream.go
+++ b/internal/standin/engineserver/stream.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	a.engine.served.Add(1)
+	a.engine.cold.answered()
 	return nil
 }
 
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -164,6 +164,7 @@
 type Table struct {
 	mu       sync.Mutex
 	byID     map[string]*Backend
+	place    Place
 	byTarget atomic.Pointer[map[string][]*Backend]
 }
 
@@ -174,6 +175,14 @@
 	return t
 }
 
+// SetPlace sets the place by which the next Apply chooses the servers that
+// this instance sends work to.
+func (t *Table) SetPlace(place Place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place = place
+}
+
 // Apply replaces the list of servers. Servers that stay keep their state.
 func (t *Table) Apply(servers []Server) {
 	t.mu.Lock()
@@ -191,6 +200,9 @@
 			byTarget[target] = append(byTarget[target], backend)
 		}
 	}
+	for target, all := range byTarget {
+		byTarget[target] = subset(all, t.place)
+	}
 	t.byID = byID
 	t.byTarget.Store(&byTarget)
 }
@@ -202,8 +214,8 @@
 	return t.byID[id]
 }
 
-// Serving returns the servers of a version or plain service. The slice must
-// not be changed.
+// Serving returns the servers of a version or plain service that this instance
+// sends work to. The slice must not be changed.
 func (t *Table) Serving(target string) []*Backend {
 	return (*t.byTarget.Load())[target]
 }
--- /dev/null
+++ b/internal/transport/enginemetrics/enginemetrics.go
@@ -0,0 +1,156 @@
+// Package enginemetrics reads the load of a backend server from its metrics in
+// the Prometheus text format, by the names that model engines publish, and its
+// health.
+package enginemetrics
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/state/backends"
+	"medlarslip/internal/transport/httpconn"
+)
+
+// Paths on a backend server.
+const (
+	MetricsPath = "/metrics"
+	HealthPath  = "/health"
+)
+
+// Names of metrics. Some engines publish the use of the KV cache under the
+// older name.
+const (
+	nameRunning     = "vllm:num_requests_running"
+	nameWaiting     = "vllm:num_requests_waiting"
+	nameCacheUse    = "vllm:kv_cache_usage_perc"
+	nameOldCacheUse = "vllm:gpu_cache_usage_perc"
+	nameStartTime   = "process_start_time_seconds"
+)
+
+// Kinds of error.
+var (
+	// ErrUnreachable means that the server did not answer.
+	ErrUnreachable = merry.Sentinel("backend server did not answer for its metrics; check that it runs and that its address is right")
+	// ErrMalformed means that the answer holds no load.
+	ErrMalformed = merry.Sentinel("metrics of the backend server can't be read; check that it publishes the Prometheus text format")
+)
+
+// Client reads metrics. It is safe for concurrent use.
+type Client struct {
+	pool *httpconn.Pool
+}
+
+// New returns a client that uses the connections of pool.
+func New(pool *httpconn.Pool) *Client { return &Client{pool: pool} }
+
+// Load reads the load of the server at address. The error is of the kind
+// ErrUnreachable or ErrMalformed.
+func (c *Client) Load(ctx context.Context, address string) (backends.Load, error) {
+	asked := time.Now()
+	body, err := c.get(ctx, address, MetricsPath)
+	if err != nil {
+		return backends.Load{}, err
+	}
+	load, err := parse(body)
+	load.ReadAt = asked
+	return load, err
+}
+
+// Healthy reports whether the server says that it takes work. The error is of
+// the kind ErrUnreachable.
+func (c *Client) Healthy(ctx context.Context, address string) error {
+	_, err := c.get(ctx, address, HealthPath)
+	return err
+}
+
+func (c *Client) get(ctx context.Context, address, path string) ([]byte, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodGet)
+	req.SetRequestURI("http://" + address + path)
+	if err := c.pool.Do(ctx, address, req, resp, httpconn.ReuseIdle); err != nil {
+		return nil, merry.Prepend(ErrUnreachable, err.Error())
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, merry.Prependf(ErrUnreachable, "status %d from %s%s", resp.StatusCode(), address, path)
+	}
+	return bytes.Clone(resp.Body()), nil
+}
+
+// parse reads the load from metrics. Where a metric is given for several
+// models of one engine, the values add up; of cache use the highest counts.
+func parse(text []byte) (backends.Load, error) {
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(bytes.NewReader(text))
+	if err != nil {
+		return backends.Load{}, merry.Prepend(ErrMalformed, err.Error())
+	}
+	running, ok := sum(families[nameRunning])
+	if !ok {
+		return backends.Load{}, merry.Prepend(ErrMalformed, "no "+nameRunning)
+	}
+	waiting, _ := sum(families[nameWaiting])
+	started, _ := highest(families[nameStartTime])
+	use, ok := highest(families[nameCacheUse])
+	if !ok {
+		use, _ = highest(families[nameOldCacheUse])
+	}
+	return backends.Load{
+		Running: count(running), Waiting: count(waiting), CacheUse: min(max(use, 0), 1),
+		// Whole seconds tell two starts apart; a 32-bit count suffices.
+		Started: uint32(count(started)),
+	}, nil
+}
+
+// count turns a value into a count; what is no count becomes 0.
+func count(value float64) int {
+	if math.IsNaN(value) || value < 0 || value > math.MaxUint32 {
+		return 0
+	}
+	return int(value)
+}
+
+func values(family *dto.MetricFamily) []float64 {
+	var all []float64
+	for _, metric := range family.GetMetric() {
+		switch {
+		case metric.Gauge != nil:
+			all = append(all, metric.Gauge.GetValue())
+		case metric.Counter != nil:
+			all = append(all, metric.Counter.GetValue())
+		case metric.Untyped != nil:
+			all = append(all, metric.Untyped.GetValue())
+		}
+	}
+	return all
+}
+
+func sum(family *dto.MetricFamily) (float64, bool) {
+	all := values(family)
+	total := 0.0
+	for _, value := range all {
+		total += value
+	}
+	return total, len(all) > 0
+}
+
+func highest(family *dto.MetricFamily) (float64, bool) {
+	all := values(family)
+	top := 0.0
+	for _, value := range all {
+		if !math.IsNaN(value) {
+			top = max(top, value)
+		}
+	}
+	return top, len(all) > 0
+}
