Measure what the coordination of a fleet costs by its size

medlarslip-capacity runs many real nodes in one process over loopback, with a plain design beside them, and fits slopes. Its first runs (9 and 50 nodes) showed two costs that grew with the fleet: reading the whole instance list each second, 150 bytes a row, and an entry for each server. The list is now read as often as 3 KB/s allow, and the changes that one instance sees are spread; load is spread by groups of eight servers in packed digests. Metrics are fetched compressed.

--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,254 @@
+package capacity
+
+import (
+	"context"
+	"expvar"
+	"runtime"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/protocol/platform"
+)
+
+// ErrNotConverged means that a fleet did not come together.
+var ErrNotConverged = merry.Sentinel("fleet did not converge in time; run fewer instances or give more time")
+
+// Plan says what one run measures.
+type Plan struct {
+	Design  Design
+	Nodes   int
+	Servers int
+	// Window is how long traffic and CPU are measured.
+	Window time.Duration
+	// Patience bounds each wait for convergence.
+	Patience time.Duration
+}
+
+// Result is what one run measured, per node where nothing else is said.
+type Result struct {
+	Plan Plan
+	// Joined is the time from the start until all nodes knew all nodes and
+	// the load of all servers.
+	Joined time.Duration
+	// PeerBytes, EngineBytes and ListBytes are bytes a second, sent and
+	// received, between instances, with backend servers and with the list.
+	PeerBytes, EngineBytes, ListBytes float64
+	// PeerMessages and EngineReads are calls a second.
+	PeerMessages, EngineReads float64
+	// CPU is the share of a core, stand-ins included.
+	CPU float64
+	// Memory is heap and stacks in bytes.
+	Memory float64
+	// Urgent is how long an urgent change took to reach all nodes.
+	Urgent time.Duration
+}
+
+// Bytes returns all bytes a second of a node.
+func (r *Result) Bytes() float64 { return r.PeerBytes + r.EngineBytes + r.ListBytes }
+
+// Run measures one fleet.
+func Run(ctx context.Context, plan Plan) (*Result, error) {
+	st, err := newStandins()
+	if err != nil {
+		return nil, err
+	}
+	defer st.close()
+	before := memory()
+	nodes, err := build(plan, st)
+	if err != nil {
+		return nil, err
+	}
+	running, stop := context.WithCancel(ctx)
+	var group errgroup.Group
+	began := time.Now()
+	for _, n := range nodes {
+		n.run(running, plan.Design, &group)
+	}
+	result := &Result{Plan: plan}
+	err = measure(ctx, result, nodes, st, began)
+	result.Memory = (memory() - before) / float64(plan.Nodes)
+	stop()
+	for _, n := range nodes {
+		n.close()
+	}
+	if groupErr := group.Wait(); err == nil {
+		err = groupErr
+	}
+	return result, err
+}
+
+func build(plan Plan, st *standins) ([]*node, error) {
+	nodes := make([]*node, plan.Nodes)
+	rows := make([]platform.Instance, plan.Nodes)
+	for i := range nodes {
+		n, err := newNode(i, st)
+		if err != nil {
+			return nil, err
+		}
+		nodes[i], rows[i] = n, n.self
+	}
+	return nodes, st.setList(rows, plan.Servers)
+}
+
+func measure(ctx context.Context, result *Result, nodes []*node, st *standins, began time.Time) error {
+	plan := result.Plan
+	if err := await(ctx, plan.Patience, func() bool { return joined(nodes, plan) }); err != nil {
+		return err
+	}
+	result.Joined = time.Since(began)
+	pause(ctx, settleTime)
+	first := sample(st)
+	pause(ctx, plan.Window)
+	result.take(first, sample(st))
+	return measureUrgent(ctx, result, nodes)
+}
+
+// settleTime is the time between convergence and measurement, in which links
+// exchange what is left.
+const settleTime = 5 * time.Second
+
+func joined(nodes []*node, plan Plan) bool {
+	for _, n := range nodes {
+		if plan.Design == DesignNaive {
+			n.naive.mu.Lock()
+			full := len(n.naive.known.Members) == plan.Nodes && len(n.naive.known.Loads) == plan.Servers
+			n.naive.mu.Unlock()
+			if !full {
+				return false
+			}
+			continue
+		}
+		if len(n.members.EntryIDs()) != plan.Nodes || !loadsKnown(n, plan.Servers) {
+			return false
+		}
+	}
+	return true
+}
+
+func loadsKnown(n *node, servers int) bool {
+	all := n.table.All()
+	for _, backend := range all {
+		if backend.Snapshot().Load.ReadAt.IsZero() {
+			return false
+		}
+	}
+	return len(all) == servers
+}
+
+// measureUrgent spreads a change from one node and waits until all have it.
+func measureUrgent(ctx context.Context, result *Result, nodes []*node) error {
+	const key = "capacity-probe"
+	began := time.Now()
+	known := func(n *node) bool {
+		_, _, ok := n.gossip.Get(gossip.KindWarmth, key)
+		return ok
+	}
+	if result.Plan.Design == DesignNaive {
+		nodes[0].naive.mark(key)
+		known = func(n *node) bool { return n.naive.hasMark(key) }
+	} else {
+		nodes[0].gossip.Publish(gossip.KindWarmth, key, []byte{1}, 0, true)
+	}
+	err := await(ctx, result.Plan.Patience, func() bool {
+		for _, n := range nodes {
+			if !known(n) {
+				return false
+			}
+		}
+		return true
+	})
+	result.Urgent = time.Since(began)
+	return err
+}
+
+func await(ctx context.Context, patience time.Duration, done func() bool) error {
+	const step = 5 * time.Millisecond
+	end := time.Now().Add(patience)
+	for !done() {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return ErrNotConverged
+		}
+		pause(ctx, step)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+}
+
+// counts are the running totals at one moment.
+type counts struct {
+	at                                 time.Time
+	peer, engines, list, calls, engine float64
+	cpu                                time.Duration
+}
+
+func sample(st *standins) counts {
+	return counts{
+		at:      time.Now(),
+		peer:    counterValue("peer_bytes_sent") + counterValue("peer_bytes_received"),
+		engines: float64(st.engines.bytes.Load()),
+		list:    float64(st.list.bytes.Load()),
+		calls:   peerCalls(),
+		engine:  float64(st.requests.Load()),
+		cpu:     cpuTime(),
+	}
+}
+
+func (r *Result) take(first, last counts) {
+	scale := 1 / (last.at.Sub(first.at).Seconds() * float64(r.Plan.Nodes))
+	r.PeerBytes = (last.peer - first.peer) * scale
+	r.EngineBytes = (last.engines - first.engines) * scale
+	r.ListBytes = (last.list - first.list) * scale
+	r.PeerMessages = (last.calls - first.calls) * scale
+	r.EngineReads = (last.engine - first.engine) * scale
+	r.CPU = (last.cpu - first.cpu).Seconds() * scale
+}
+
+func counterValue(name string) float64 {
+	value, err := strconv.ParseFloat(expvar.Get(name).String(), 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+func peerCalls() float64 {
+	total := 0.0
+	calls, ok := expvar.Get("peer_calls").(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	calls.Do(func(kv expvar.KeyValue) {
+		if count, ok := kv.Value.(*expvar.Int); ok {
+			total += float64(count.Value())
+		}
+	})
+	return total
+}
+
+// cpuTime returns the processor time of this process.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// memory returns heap and stacks in use, in bytes.
+func memory() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse + stats.StackInuse)
+}
--- a/internal/coordination/coldstart/marks.go
+++ b/internal/coordination/coldstart/marks.go
@@ -12,7 +12,7 @@
 	_           struct{} `cbor:",toarray"`
 	Cold        uint8
 	Incarnation string
-	Started     uint32
+	Started     uint16
 }
 
 func encodeMark(w backends.Warmth) []byte {
--- a/internal/coordination/coldstart/ramp.go
+++ b/internal/coordination/coldstart/ramp.go
@@ -21,7 +21,7 @@
 // serverRun names one run of a backend server.
 type serverRun struct {
 	incarnation string
-	started     uint32
+	started     uint16
 }
 
 // sameAs reports whether both may be the same run.
--- a/internal/coordination/gossip/entry.go
+++ b/internal/coordination/gossip/entry.go
@@ -13,13 +13,13 @@
 const (
 	// KindMember entries hold a Member under its instance ID.
 	KindMember Kind = 1
-	// KindLoad entries hold the load of a backend server.
+	// KindLoad entries hold the load of a group of backend servers.
 	KindLoad Kind = 2
 	// KindWarmth entries hold whether a backend server is warm.
 	KindWarmth Kind = 3
-	// KindLeaving entries hold the incarnation of a backend server that
-	// leaves.
-	KindLeaving Kind = 4
+	// KindServer entries hold which run of a backend server the instance list
+	// shows and whether it leaves.
+	KindServer Kind = 4
 )
 
 // Entry is one register of the spread state. Of two entries with the same
--- a/internal/coordination/gossip/node.go
+++ b/internal/coordination/gossip/node.go
@@ -235,7 +235,7 @@
 	if n.entries.merge(e, from, now) {
 		st := n.entries.get(e.Kind, e.Key)
 		n.changed = append(n.changed, changedEntry{entry: e, observed: st.observed})
-		if e.Kind == KindWarmth || e.Kind == KindLeaving {
+		if e.Kind == KindWarmth || e.Kind == KindServer {
 			n.wake()
 		}
 	}
--- a/internal/coordination/loadwatch/loadwatch.go
+++ b/internal/coordination/loadwatch/loadwatch.go
@@ -7,13 +7,14 @@
 	"cmp"
 	"context"
 	"expvar"
+	"fmt"
+	"math/bits"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/coordination/gossip"
@@ -23,14 +24,16 @@
 const (
 	// tickInterval is the time between two looks at what is due.
 	tickInterval = time.Second
-	// readsPerSecond bounds what the whole fleet reads and spreads. The time
-	// between two reads of a server follows from it.
+	// readsPerSecond bounds what the whole fleet reads. The time between two
+	// reads of a server follows from it.
 	readsPerSecond = 60
 	// readTimeout bounds one read of metrics.
 	readTimeout = 800 * time.Millisecond
 	// parallelReads bounds the reads of one instance at once.
 	parallelReads = 8
-	// watchers is how many instances watch a server; all but the first read
+	// groupSize is how many servers, about, are watched and spread together.
+	groupSize = 8
+	// watchers is how many instances watch a group; all but the first read
 	// only once what the ones before them spread is overdue.
 	watchers = 3
 	// overduePeriods is the age of spread load, in periods, from which the
@@ -56,7 +59,6 @@
 // Gossip spreads load.
 type Gossip interface {
 	Publish(kind gossip.Kind, key string, value []byte, ageOf time.Duration, urgent bool)
-	Get(kind gossip.Kind, key string) (gossip.Entry, time.Time, bool)
 }
 
 // Config is what a Watcher is made of.
@@ -75,22 +77,30 @@
 	config Config
 
 	mu sync.Mutex
-	// entryIDs are the instances that ranks were computed for.
-	entryIDs []string
-	ranks    map[string]int
-	watched  map[string]*watched
+	// byHash holds the listed servers by what names them in digests.
+	byHash map[uint32]*backends.Backend
+	groups map[string]*group
+	// received holds the last spread load of each group.
+	received map[string]received
 }
 
-// watched is a server that this instance has read.
-type watched struct {
+// group is a group of servers as this instance watches it.
+type group struct {
+	servers  []*backends.Backend
+	rank     int
 	readAt   time.Time
-	spread   backends.Load
+	spread   []digest
 	spreadAt time.Time
 }
 
+type received struct {
+	value    []byte
+	observed time.Time
+}
+
 // New returns a watcher that has read nothing.
 func New(config Config) *Watcher {
-	return &Watcher{config: config, ranks: map[string]int{}, watched: map[string]*watched{}}
+	return &Watcher{config: config, groups: map[string]*group{}, received: map[string]received{}}
 }
 
 // Period returns the time between two reads of one of so many servers.
@@ -112,54 +122,69 @@
 	}
 }
 
-// Tick reads the servers that are due.
+// Tick reads the groups that are due.
 func (w *Watcher) Tick(ctx context.Context) {
 	all := w.config.Table.All()
 	period := Period(len(all))
 	w.prepare(all)
-	var reads errgroup.Group
-	reads.SetLimit(parallelReads)
-	for _, backend := range all {
-		server := backend.Snapshot()
-		w.catchUp(backend, &server)
-		if w.due(&server, period) {
-			reads.Go(func() error {
-				w.read(ctx, backend, &server, period)
-				return nil
-			})
-		}
+	for key, g := range w.due(period) {
+		w.read(ctx, key, g, period)
 	}
-	_ = reads.Wait() // the reads return no error
 }
 
-// prepare brings the ranks up to date and forgets servers that are gone.
+// prepare brings groups and ranks up to date with the lists of servers and
+// instances.
 func (w *Watcher) prepare(all []*backends.Backend) {
 	entryIDs := w.config.EntryIDs()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	changed := !slices.Equal(entryIDs, w.entryIDs)
-	w.entryIDs = entryIDs
-	ranks := make(map[string]int, len(all))
+	fresh := false
+	byHash := make(map[uint32]*backends.Backend, len(all))
+	groups := map[string]*group{}
 	for _, backend := range all {
-		id := backend.Snapshot().Server.ID
-		rank, known := w.ranks[id]
-		if !known || changed {
-			rank = rankOf(entryIDs, w.config.Self, id)
+		hash := serverHash(backend.Snapshot().Server.ID)
+		fresh = fresh || w.byHash[hash] != backend
+		byHash[hash] = backend
+		key := groupOf(hash, len(all))
+		g := groups[key]
+		if g == nil {
+			g = w.renewed(key, entryIDs)
+			groups[key] = g
 		}
-		ranks[id] = rank
+		g.servers = append(g.servers, backend)
 	}
-	w.ranks = ranks
-	for id := range w.watched {
-		if _, ok := ranks[id]; !ok {
-			delete(w.watched, id)
-		}
+	w.byHash, w.groups = byHash, groups
+	if !fresh {
+		return
+	}
+	for _, r := range w.received {
+		w.applyLocked(r.value, r.observed)
+	}
+}
+
+// renewed returns a group without servers that remembers what was read.
+func (w *Watcher) renewed(key string, entryIDs []string) *group {
+	g := &group{rank: rankOf(entryIDs, w.config.Self, key)}
+	if old := w.groups[key]; old != nil {
+		g.readAt, g.spread, g.spreadAt = old.readAt, old.spread, old.spreadAt
 	}
+	return g
+}
+
+// groupOf returns the key of the group of a server among so many servers. The
+// number of groups is a power of two, so that it seldom changes.
+func groupOf(hash uint32, servers int) string {
+	exponent := bits.Len(uint(max(servers/groupSize, 1)) - 1)
+	return fmt.Sprintf("%d.%d", exponent, hash%(1<<exponent))
 }
 
-// rankOf returns the place of self among the watchers of a server, by
+// serverHash names a server in digests.
+func serverHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// rankOf returns the place of self among the watchers of a group, by
 // rendezvous hashing, or -1.
-func rankOf(entryIDs []string, self, server string) int {
-	weight := func(id string) uint64 { return xxhash.Sum64String(id + "/watch/" + server) }
+func rankOf(entryIDs []string, self, key string) int {
+	weight := func(id string) uint64 { return xxhash.Sum64String(id + "/watch/" + key) }
 	own := weight(self)
 	rank := 0
 	for _, id := range entryIDs {
@@ -174,106 +199,88 @@
 	return rank
 }
 
-// catchUp takes over load that was spread before the server was listed here.
-func (w *Watcher) catchUp(backend *backends.Backend, server *backends.Snapshot) {
-	if !server.Load.ReadAt.IsZero() {
-		return
-	}
-	if entry, observed, ok := w.config.Gossip.Get(gossip.KindLoad, server.Server.ID); ok {
-		apply(backend, &entry, observed)
-	}
-}
-
-// due reports whether this instance should read a server now.
-func (w *Watcher) due(server *backends.Snapshot, period time.Duration) bool {
+// due returns the groups that this instance should read now.
+func (w *Watcher) due(period time.Duration) map[string]*group {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	rank := w.ranks[server.Server.ID]
-	if rank < 0 {
-		return false
+	due := map[string]*group{}
+	for key, g := range w.groups {
+		if g.rank < 0 || now.Sub(g.readAt) < period {
+			continue
+		}
+		overdue := time.Duration(g.rank*overduePeriods+refreshPeriods) * period
+		if g.rank == 0 || now.Sub(g.knownSince()) >= overdue {
+			due[key] = g
+			g.readAt = now
+		}
 	}
-	own := w.watched[server.Server.ID]
-	if own != nil && now.Sub(own.readAt) < period {
-		return false
+	return due
+}
+
+// knownSince returns when the newest load of the group was read.
+func (g *group) knownSince() time.Time {
+	var newest time.Time
+	for _, backend := range g.servers {
+		if readAt := backend.Snapshot().Load.ReadAt; readAt.After(newest) {
+			newest = readAt
+		}
 	}
-	overdue := time.Duration(rank*overduePeriods) * period
-	return rank == 0 || now.Sub(server.Load.ReadAt) >= overdue+refreshPeriods*period
+	return newest
 }
 
-func (w *Watcher) read(ctx context.Context, backend *backends.Backend, server *backends.Snapshot, period time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	readCount.Add(1)
-	load, err := w.config.Reader.Load(ctx, server.Server.Address)
+// read reads the servers of a group and spreads their load.
+func (w *Watcher) read(ctx context.Context, key string, g *group, period time.Duration) {
+	began := time.Now()
+	digests := w.readAll(ctx, g.servers)
 	now := time.Now()
 	w.mu.Lock()
-	own := w.watched[server.Server.ID]
-	if own == nil {
-		own = &watched{}
-		w.watched[server.Server.ID] = own
-	}
-	own.readAt = now
-	spread := err == nil && (changed(&own.spread, &load) || now.Sub(own.spreadAt) >= refreshPeriods*period)
+	spread := len(digests) > 0 && (changed(g.spread, digests) || now.Sub(g.spreadAt) >= refreshPeriods*period)
 	if spread {
-		own.spread, own.spreadAt = load, now
+		g.spread, g.spreadAt = digests, now
 	}
 	w.mu.Unlock()
-	if err != nil {
-		readFailed.Add(1)
-		return
-	}
-	backend.SetLoad(load)
 	if spread {
 		spreadCount.Add(1)
-		w.config.Gossip.Publish(gossip.KindLoad, server.Server.ID, encode(&load), now.Sub(load.ReadAt), false)
+		w.config.Gossip.Publish(gossip.KindLoad, key, encode(digests), now.Sub(began), false)
 	}
 }
 
-// changed reports whether load differs enough to be worth spreading: by a
-// quarter, or by two requests, or another run of the server.
-func changed(old, load *backends.Load) bool {
-	return old.Started != load.Started || differs(old.Running, load.Running) || differs(old.Waiting, load.Waiting)
-}
-
-func differs(old, count int) bool {
-	const share, least = 4, 2
-	difference := max(old-count, count-old)
-	return difference >= least && difference*share >= old
-}
-
-// digest is the spread value of the load of a server.
-type digest struct {
-	_            struct{} `cbor:",toarray"`
-	Running      uint32
-	Waiting      uint32
-	CachePercent uint8
-	Started      uint32
-}
-
-const percent = 100
-
-func encode(load *backends.Load) []byte {
-	raw, err := cbor.Marshal(digest{
-		Running: uint32(load.Running), Waiting: uint32(load.Waiting),
-		CachePercent: uint8(load.CacheUse * percent), Started: load.Started,
-	})
-	if err != nil {
-		panic(err) // the type always encodes
+// readAll reads servers and returns the digests of those that answered.
+func (w *Watcher) readAll(ctx context.Context, servers []*backends.Backend) []digest {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	read := make([]*digest, len(servers))
+	var reads errgroup.Group
+	reads.SetLimit(parallelReads)
+	for i, backend := range servers {
+		reads.Go(func() error {
+			read[i] = w.readOne(ctx, backend)
+			return nil
+		})
 	}
-	return raw
+	_ = reads.Wait() // the reads return no error
+	var digests []digest
+	for _, d := range read {
+		if d != nil {
+			digests = append(digests, *d)
+		}
+	}
+	slices.SortFunc(digests, func(a, b digest) int { return cmp.Compare(a.Server, b.Server) })
+	return digests
 }
 
-// apply notes spread load; what can't be decoded is passed over.
-func apply(backend *backends.Backend, entry *gossip.Entry, observed time.Time) {
-	var d digest
-	if cbor.Unmarshal(entry.Value, &d) != nil {
-		return
+func (w *Watcher) readOne(ctx context.Context, backend *backends.Backend) *digest {
+	readCount.Add(1)
+	server := backend.Snapshot().Server
+	load, err := w.config.Reader.Load(ctx, server.Address)
+	if err != nil {
+		readFailed.Add(1)
+		return nil
 	}
-	backend.SetLoad(backends.Load{
-		Running: int(d.Running), Waiting: int(d.Waiting), CacheUse: float64(d.CachePercent) / percent,
-		Started: d.Started, ReadAt: observed,
-	})
+	backend.SetLoad(load)
+	d := digestOf(server.ID, &load)
+	return &d
 }
 
 // OnEntry takes notice of spread load.
@@ -281,7 +288,25 @@
 	if entry.Kind != gossip.KindLoad {
 		return
 	}
-	if backend := w.config.Table.Get(entry.Key); backend != nil {
-		apply(backend, &entry, observed)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.received[entry.Key] = received{value: entry.Value, observed: observed}
+	w.applyLocked(entry.Value, observed)
+	for key, r := range w.received {
+		if time.Since(r.observed) > receivedLife {
+			delete(w.received, key)
+		}
+	}
+}
+
+// receivedLife is how long spread load is kept for servers that are not listed
+// yet.
+const receivedLife = 10 * time.Minute
+
+func (w *Watcher) applyLocked(value []byte, observed time.Time) {
+	for _, d := range decode(value) {
+		if backend := w.byHash[d.Server]; backend != nil {
+			backend.SetLoad(d.load(observed))
+		}
 	}
 }
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,11 +40,16 @@
 }
 
 const (
-	// PollInterval is the time between two reads of the instance list.
-	PollInterval = time.Second
-	// leavingHintLife is how long it counts that another instance saw a
-	// backend server leave. It covers the lag of the instance list.
-	leavingHintLife = time.Minute
+	// shortestPoll is the time between two reads of a short instance list.
+	shortestPoll = time.Second
+	// rowBytes is the size of a row of the list, and listBytesPerSecond what
+	// an instance spends on reading it. A long list is read less often by
+	// each; what one instance sees change it spreads.
+	rowBytes           = 150
+	listBytesPerSecond = 3 << 10
+	pollTimeout        = time.Second
+	// correctionLife is how long spread changes correct a list that may lag.
+	correctionLife = 3 * time.Minute
 	// pruneAge is the age from which entries about servers that are not
 	// listed are forgotten.
 	pruneAge = 10 * time.Minute
@@ -72,31 +78,45 @@
 	servers []backends.Server
 	leaving bool
 	reached bool
+	// interval is the time between two reads of the list.
+	interval time.Duration
 }
 
 // New returns members of which only self is known.
 func New(config Config) *Members {
-	return &Members{config: config, reached: true}
+	return &Members{config: config, reached: true, interval: shortestPoll}
 }
 
 // Run polls the instance list until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
-	ticker := time.NewTicker(PollInterval)
-	defer ticker.Stop()
 	for {
 		m.Poll(ctx)
 		select {
-		case <-ticker.C:
+		case <-time.After(m.pollPause()):
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// pollInterval returns the time between two reads of a list of so many rows.
+func pollInterval(rows int) time.Duration {
+	return max(shortestPoll, time.Duration(rows)*rowBytes*time.Second/listBytesPerSecond)
+}
+
+// pollPause returns the interval with jitter, so that the instances' reads
+// fall evenly in time and one of them sees a change soon.
+func (m *Members) pollPause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	const jitterShare = 4
+	return m.interval - m.interval/jitterShare + rand.N(m.interval/(jitterShare/2))
+}
+
 // Poll reads the instance list once. While it can't be read, the last list
 // stays in use, with what other instances spread.
 func (m *Members) Poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, PollInterval)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	list, err := m.config.Source.Instances(ctx)
 	m.noteReached(err)
@@ -134,12 +154,12 @@
 		}
 	}
 	m.mu.Lock()
+	old := m.servers
 	m.entries, m.servers = entryInstances, servers
+	m.interval = pollInterval(len(list.Instances))
 	m.mu.Unlock()
 	m.config.Gossip.Join(membersOf(entryInstances))
-	for _, server := range servers {
-		m.spreadLeaving(&server)
-	}
+	m.spreadChanges(old, servers)
 }
 
 func serverOf(instance platform.Instance) backends.Server {
@@ -166,21 +186,6 @@
 	return members
 }
 
-// spreadLeaving tells the other instances, whose lists may lag more, that a
-// backend server leaves. The value names the incarnation that leaves.
-func (m *Members) spreadLeaving(server *backends.Server) {
-	if !server.Leaving || m.hintedLeaving(server) {
-		return
-	}
-	m.config.Gossip.Publish(gossip.KindLeaving, server.ID, []byte(server.Incarnation), 0, true)
-}
-
-// hintedLeaving reports whether an instance saw the server leave of late.
-func (m *Members) hintedLeaving(server *backends.Server) bool {
-	entry, observed, ok := m.config.Gossip.Get(gossip.KindLeaving, server.ID)
-	return ok && string(entry.Value) == server.Incarnation && time.Since(observed) < leavingHintLife
-}
-
 // applyServers puts the list of backend servers in force.
 func (m *Members) applyServers() {
 	m.mu.Lock()
@@ -188,7 +193,7 @@
 	m.mu.Unlock()
 	servers := make([]backends.Server, len(listed))
 	for i, server := range listed {
-		server.Leaving = server.Leaving || m.hintedLeaving(&server)
+		m.correct(&server)
 		servers[i] = server
 	}
 	m.config.Table.SetPlace(backends.PlaceOf(m.config.Self.ID, m.EntryIDs()))
@@ -202,14 +207,16 @@
 	for _, server := range servers {
 		known[server.ID] = true
 	}
-	for _, kind := range []gossip.Kind{gossip.KindLoad, gossip.KindWarmth, gossip.KindLeaving} {
+	for _, kind := range []gossip.Kind{gossip.KindWarmth, gossip.KindServer} {
 		m.config.Gossip.Prune(kind, pruneAge, func(key string) bool { return known[key] })
 	}
+	m.config.Gossip.Prune(gossip.KindLoad, pruneAge, func(string) bool { return false })
 }
 
-// OnEntry takes notice of a spread entry; a leaving server is barred at once.
+// OnEntry takes notice of a spread entry; a server that leaves or starts again
+// is corrected at once.
 func (m *Members) OnEntry(entry gossip.Entry) {
-	if entry.Kind == gossip.KindLeaving {
+	if entry.Kind == gossip.KindServer {
 		m.applyServers()
 	}
 }
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -26,11 +26,13 @@
 	mu        sync.Mutex
 	instances []platform.Instance
 	down      bool
+	reads     int
 }
 
 func (l *list) Instances(ctx context.Context) (*platform.InstanceList, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reads++
 	if l.down {
 		return nil, errors.New("list is down")
 	}
@@ -202,3 +204,39 @@
 		must.Eq(t, []string{"c1", "c2"}, second.addresses())
 	})
 }
+
+func TestServerThatStartsAgainIsKnownDespiteAnOldList(t *testing.T) {
+	inFleet(t, func(first, second *instance, _ *string) {
+		first.list.set(func(l *list) { l.instances[2].Incarnation = "2" })
+		time.Sleep(limitOfNoNewWork)
+		must.Eq(t, "2", second.table.Get("s1").Snapshot().Server.Incarnation)
+		second.list.set(func(l *list) { l.instances[2].Incarnation = "2" })
+		first.list.set(func(l *list) { l.instances[2].Incarnation = "3" })
+		time.Sleep(limitOfNoNewWork)
+		must.Eq(t, "3", second.table.Get("s1").Snapshot().Server.Incarnation)
+		must.Eq(t, "3", first.table.Get("s1").Snapshot().Server.Incarnation)
+	})
+}
+
+func TestLongListsAreReadLessOften(t *testing.T) {
+	rows := func(count int) []platform.Instance {
+		instances := fleetList()
+		for range count - len(instances) {
+			instances = append(instances, platform.Instance{ID: "x", Role: platform.RoleEngine, State: platform.InstanceLive})
+		}
+		return instances
+	}
+	inFleet(t, func(first, _ *instance, _ *string) {
+		reads := func() int {
+			first.list.set(func(l *list) { l.reads = 0 })
+			time.Sleep(10 * time.Minute)
+			count := 0
+			first.list.set(func(l *list) { count = l.reads })
+			return count
+		}
+		must.Between(t, 500, reads(), 700)
+		first.list.set(func(l *list) { l.instances = rows(1010) })
+		time.Sleep(2 * time.Second)
+		must.Between(t, 9, reads(), 17)
+	})
+}
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -10,6 +10,7 @@
 	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/transport/enginemetrics"
+	"medlarslip/internal/transport/peergossip"
 )
 
 // addFleet adds the parts that know the other instances and the backend
@@ -30,10 +31,10 @@
 			ID: s.Instance, Control: s.Listen.Peers, Callers: s.Listen.Callers, FailureDomain: s.FailureDomain,
 		},
 		Run:       a.incarnation,
-		Transport: gossipTransport{a.peerClient},
+		Transport: peergossip.Transport{Client: a.peerClient},
 		OnEntry:   a.onEntry,
 	})
-	handleGossip(a.peerServer, a.gossip)
+	peergossip.Handle(a.peerServer, a.gossip)
 	a.members = membership.New(membership.Config{
 		Self: self, Source: a.platform, Gossip: a.gossip, Table: a.table,
 		TTL: s.Drain.EntriesTTL(), DomainOut: a.domainOut,
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -30,7 +30,7 @@
 	// CacheUse is the share of the KV cache in use, 0 to 1.
 	CacheUse float64
 	// Started identifies the run of the server's process; 0 if unknown.
-	Started uint32
+	Started uint16
 	// ReadAt is when the report was read, on the monotonic clock.
 	ReadAt time.Time
 }
@@ -42,7 +42,7 @@
 	// Incarnation and Started name the run of the server that this is about;
 	// Started is 0 if unknown.
 	Incarnation string
-	Started     uint32
+	Started     uint16
 }
 
 // Backend is one backend server with the state that this instance keeps.
--- a/internal/transport/enginemetrics/enginemetrics.go
+++ b/internal/transport/enginemetrics/enginemetrics.go
@@ -35,6 +35,9 @@
 	nameStartTime   = "process_start_time_seconds"
 )
 
+// maxMetricsBytes bounds the text of one server after decompression.
+const maxMetricsBytes = 4 << 20
+
 // Kinds of error.
 var (
 	// ErrUnreachable means that the server did not answer.
@@ -78,13 +81,18 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodGet)
 	req.SetRequestURI("http://" + address + path)
+	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	if err := c.pool.Do(ctx, address, req, resp, httpconn.ReuseIdle); err != nil {
 		return nil, merry.Prepend(ErrUnreachable, err.Error())
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, merry.Prependf(ErrUnreachable, "status %d from %s%s", resp.StatusCode(), address, path)
 	}
-	return bytes.Clone(resp.Body()), nil
+	body, err := resp.BodyUncompressedWithLimit(maxMetricsBytes)
+	if err != nil {
+		return nil, merry.Prepend(ErrMalformed, err.Error())
+	}
+	return bytes.Clone(body), nil
 }
 
 // parse reads the load from metrics. Where a metric is given for several
@@ -107,11 +115,19 @@
 	}
 	return backends.Load{
 		Running: count(running), Waiting: count(waiting), CacheUse: min(max(use, 0), 1),
-		// Whole seconds tell two starts apart; a 32-bit count suffices.
-		Started: uint32(count(started)),
+		Started: runOf(started),
 	}, nil
 }
 
+// runOf returns what identifies the run of a process that started at a time in
+// seconds; 0 if the time is unknown.
+func runOf(started float64) uint16 {
+	if started <= 0 || math.IsNaN(started) {
+		return 0
+	}
+	return uint16(math.Mod(started, math.MaxUint16)) + 1
+}
+
 // count turns a value into a count; what is no count becomes 0.
 func count(value float64) int {
 	if math.IsNaN(value) || value < 0 || value > math.MaxUint32 {
