Let the time before a measurement be chosen

A test that waited five seconds for links to settle now need not; memory is read after a second collection, because pools of an earlier fleet made the figure of the next one negative (-9.89 MB at 9 naive nodes after 410 others).

--- a/cmd/medlarslip-capacity/main.go
+++ b/cmd/medlarslip-capacity/main.go
@@ -30,13 +30,14 @@
 	sizes := flag.String("sizes", "9,50,100,200,410", "numbers of nodes, separated by commas")
 	naive := flag.String("naive", "9,50,100", "numbers of nodes of the plain design; empty for none")
 	servers := flag.Int("servers", 0, "backend servers; 0 for 600 to 410 nodes")
+	settle := flag.Duration("settle", 5*time.Second, "time between convergence and measurement")
 	window := flag.Duration("window", 20*time.Second, "time of one measurement")
 	patience := flag.Duration("patience", 2*time.Minute, "longest wait for convergence")
 	flag.Parse()
 	logrus.SetOutput(io.Discard)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	base := capacity.Plan{Servers: *servers, Window: *window, Patience: *patience}
+	base := capacity.Plan{Servers: *servers, Settle: *settle, Window: *window, Patience: *patience}
 	if err := run(ctx, base, *sizes, *naive); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -23,6 +23,9 @@
 	Design  Design
 	Nodes   int
 	Servers int
+	// Settle is the time between convergence and measurement, in which links
+	// exchange what is left.
+	Settle time.Duration
 	// Window is how long traffic and CPU are measured.
 	Window time.Duration
 	// Patience bounds each wait for convergence.
@@ -101,17 +104,13 @@
 		return err
 	}
 	result.Joined = time.Since(began)
-	pause(ctx, settleTime)
+	pause(ctx, plan.Settle)
 	first := sample(st)
 	pause(ctx, plan.Window)
 	result.take(first, sample(st))
 	return measureUrgent(ctx, result, nodes)
 }
 
-// settleTime is the time between convergence and measurement, in which links
-// exchange what is left.
-const settleTime = 5 * time.Second
-
 func joined(nodes []*node, plan Plan) bool {
 	for _, n := range nodes {
 		if plan.Design == DesignNaive {
@@ -247,6 +246,8 @@
 
 // memory returns heap and stacks in use, in bytes.
 func memory() float64 {
+	// Pools give up what they hold at the second collection.
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
