Prove whole answers by fault tables and serve TLS with renewed files

Contract tests drive the connection pool, the engine client and the streams of the router through slow, cut, crossed, repeated, refused and malformed answers. A stream is whole or ends in a typed error; a part is never sent twice.

TLS towards callers and backend servers reads renewed files without a restart. The first version checked backend servers against the server name that the connection's state holds, which is empty for IP numbers: a certificate of any other address passed.

--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -18,6 +18,7 @@
 	"medlarslip/internal/transport/logclient"
 	"medlarslip/internal/transport/peer"
 	"medlarslip/internal/transport/platformclient"
+	"medlarslip/internal/transport/tlsfiles"
 )
 
 // logReadIdle bounds the silence of the log service, which holds reads that
@@ -71,7 +72,9 @@
 	a.closers = append(a.closers, a.peerClient.Close)
 	a.log = logclient.New(s.Platform.Log, a.newPool(a.platformOptions()))
 	a.platform = platformclient.New(s.Platform.Instances, s.Platform.Ratings, a.newPool(a.platformOptions()))
-	a.backendPool = a.newPool(a.backendOptions())
+	if a.backendPool, err = a.newBackendPool(); err != nil {
+		return nil, err
+	}
 	if err := a.addConfiguration(); err != nil {
 		return nil, err
 	}
@@ -93,9 +96,19 @@
 	return opts
 }
 
-func (a *assembly) backendOptions() httpconn.Options {
+// newBackendPool returns the connections to backend servers, over TLS where
+// the settings name their certificate authorities.
+func (a *assembly) newBackendPool() (*httpconn.Pool, error) {
 	opts := httpconn.DefaultOptions()
 	opts.ConnectTimeout = a.settings.Limits.ConnectTimeout()
 	opts.IdleTimeout = a.settings.Limits.StreamIdle()
-	return opts
+	files := a.settings.TLS
+	if files != nil && files.BackendCAFile != "" {
+		authorities, err := tlsfiles.LoadAuthorities(files.BackendCAFile)
+		if err != nil {
+			return nil, err
+		}
+		opts.TLS = authorities.ClientConfig
+	}
+	return a.newPool(opts), nil
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 
 	"github.com/ansel1/merry/v2"
@@ -14,14 +15,17 @@
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/transport/adminapi"
 	"medlarslip/internal/transport/callerapi"
+	"medlarslip/internal/transport/tlsfiles"
 )
 
 // Instance is one entry instance.
 type Instance struct {
 	parts   *assembly
 	callers *fasthttp.Server
-	admin   *fasthttp.Server
-	drainer *drain.Drainer
+	// callersTLS is nil where callers use plain HTTP.
+	callersTLS *tls.Config
+	admin      *fasthttp.Server
+	drainer    *drain.Drainer
 }
 
 // New puts together an instance; it opens no connection yet.
@@ -31,6 +35,9 @@
 		return nil, err
 	}
 	in := &Instance{parts: parts}
+	if in.callersTLS, err = callersTLS(s); err != nil {
+		return nil, err
+	}
 	in.drainer = drain.New(drain.Steps{
 		Leave:          parts.members.Leave,
 		Shutdown:       func(ctx context.Context) error { return in.callers.ShutdownWithContext(ctx) },
@@ -44,6 +51,17 @@
 	return in, nil
 }
 
+func callersTLS(s *settings.Entry) (*tls.Config, error) {
+	if s.TLS == nil {
+		return nil, nil
+	}
+	certificate, err := tlsfiles.LoadCertificate(s.TLS.CertificateFile, s.TLS.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	return certificate.ServerConfig(), nil
+}
+
 func newServer(s *settings.Entry, handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
@@ -88,6 +106,9 @@
 	if err != nil {
 		return merry.Prepend(err, "listen to callers; check listen.callers")
 	}
+	if in.callersTLS != nil {
+		callers = tls.NewListener(callers, in.callersTLS)
+	}
 	peers, err := net.Listen("tcp", addresses.Peers)
 	if err != nil {
 		return merry.Prepend(err, "listen to peers; check listen.peers")
--- /dev/null
+++ b/internal/standin/loopback/loopback.go
@@ -0,0 +1,40 @@
+// Package loopback serves handlers on loopback addresses for tests.
+package loopback
+
+import (
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+)
+
+// Serve serves a handler on a free port until the test ends and returns its
+// address.
+func Serve(t testing.TB, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &fasthttp.Server{Handler: handler, CloseOnShutdown: true, Logger: quiet{}}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = server.Shutdown()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+// Refused returns an address that refuses connections.
+func Refused(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// quiet drops what the server logs of cut connections.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/transport/engine/engine_test.go
@@ -0,0 +1,185 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/loopback"
+	"medlarslip/internal/transport/engine"
+	"medlarslip/internal/transport/httpconn"
+)
+
+const (
+	versionID  = "small-1"
+	tokenCount = 6
+)
+
+func newEngine(fault engineserver.Fault, resumable bool) *engineserver.Engine {
+	e := engineserver.New(engineserver.Config{
+		Versions: []string{versionID}, Tokens: tokenCount, MaxRunning: 8, Resumable: resumable, SlowBy: 10 * time.Second,
+	})
+	e.OnRequest(func(*openai.ChatRequest, string) engineserver.Fault { return fault })
+	return e
+}
+
+func newClient(t *testing.T) *engine.Client {
+	t.Helper()
+	pool := httpconn.NewPool(httpconn.DefaultOptions())
+	t.Cleanup(pool.Close)
+	return engine.New(pool)
+}
+
+func newCall(address string) *attempt.EngineCall {
+	return &attempt.EngineCall{
+		Address:   address,
+		VersionID: versionID,
+		AttemptID: "request-1",
+		Priority:  3,
+		Body: map[string]json.RawMessage{
+			"model":       json.RawMessage(`"draft"`),
+			"messages":    json.RawMessage(`[{"role":"user","content":"hello"}]`),
+			"temperature": json.RawMessage(`0.5`),
+		},
+	}
+}
+
+func wholeText() string { return strings.Join(engineserver.Tokens(versionID, tokenCount), "") }
+
+func TestCompleteTakesOnlyWholeAnswers(t *testing.T) {
+	cases := []struct {
+		fault engineserver.Fault
+		want  error
+	}{
+		{engineserver.FaultNone, nil},
+		{engineserver.FaultCut, attempt.ErrBroken},
+		{engineserver.FaultGarbage, attempt.ErrBroken},
+		{engineserver.FaultCrossed, attempt.ErrBroken},
+		{engineserver.FaultVersion, attempt.ErrBroken},
+		{engineserver.FaultNoFinish, attempt.ErrBroken},
+		{engineserver.FaultEmptyBody, attempt.ErrBroken},
+		{engineserver.FaultError, attempt.ErrBroken},
+		{engineserver.FaultRefuse, attempt.ErrBusy},
+	}
+	for _, tc := range cases {
+		t.Run("fault "+string(tc.fault), func(t *testing.T) {
+			address := loopback.Serve(t, newEngine(tc.fault, false).Handle)
+			answer, err := newClient(t).Complete(context.Background(), newCall(address))
+			if tc.want != nil {
+				must.ErrorIs(t, err, tc.want)
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, wholeText(), answer.Parsed.Choices[0].Message.Content)
+			must.Eq(t, versionID, answer.Parsed.Model)
+		})
+	}
+}
+
+func TestCompleteTellsUnreachableFromBroken(t *testing.T) {
+	_, err := newClient(t).Complete(context.Background(), newCall(loopback.Refused(t)))
+	must.ErrorIs(t, err, attempt.ErrUnreachable)
+}
+
+func TestCompleteEndsWithItsContext(t *testing.T) {
+	address := loopback.Serve(t, newEngine(engineserver.FaultNone, false).Handle)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := newClient(t).Complete(ctx, newCall(address))
+	must.ErrorIs(t, err, attempt.ErrUnreachable)
+}
+
+// collect reads a stream to its end and returns the text.
+func collect(stream attempt.Stream) (string, error) {
+	defer stream.Close()
+	var text strings.Builder
+	for {
+		chunk, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		for _, choice := range chunk.Parsed.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+}
+
+func TestStreamTakesOnlyWholeAnswers(t *testing.T) {
+	half := strings.Join(engineserver.Tokens(versionID, tokenCount)[:tokenCount/2], "")
+	cases := []struct {
+		fault     engineserver.Fault
+		resumable bool
+		text      string
+		want      error
+	}{
+		{engineserver.FaultNone, false, wholeText(), nil},
+		{engineserver.FaultNone, true, wholeText(), nil},
+		{engineserver.FaultCut, false, half, attempt.ErrBroken},
+		{engineserver.FaultCut, true, half, attempt.ErrBroken},
+		{engineserver.FaultNoEnd, false, half, attempt.ErrBroken},
+		{engineserver.FaultGap, true, half, attempt.ErrBroken},
+		{engineserver.FaultCrossed, false, "", attempt.ErrBroken},
+		{engineserver.FaultVersion, false, "", attempt.ErrBroken},
+		{engineserver.FaultGarbage, false, "", attempt.ErrBroken},
+		{engineserver.FaultEmptyBody, false, "", attempt.ErrBroken},
+	}
+	for _, tc := range cases {
+		t.Run("fault "+string(tc.fault), func(t *testing.T) {
+			address := loopback.Serve(t, newEngine(tc.fault, tc.resumable).Handle)
+			stream, err := newClient(t).Open(context.Background(), newCall(address), 0)
+			must.NoError(t, err)
+			text, err := collect(stream)
+			must.Eq(t, tc.text, text)
+			if tc.want == nil {
+				must.NoError(t, err)
+				return
+			}
+			must.ErrorIs(t, err, tc.want)
+		})
+	}
+}
+
+func TestStreamWithRepeatedEventIsBroken(t *testing.T) {
+	address := loopback.Serve(t, newEngine(engineserver.FaultRepeat, true).Handle)
+	stream, err := newClient(t).Open(context.Background(), newCall(address), 0)
+	must.NoError(t, err)
+	_, err = collect(stream)
+	must.ErrorIs(t, err, attempt.ErrBroken)
+}
+
+func TestStreamResumesBehindLastEvent(t *testing.T) {
+	server := newEngine(engineserver.FaultNone, true)
+	address := loopback.Serve(t, server.Handle)
+	client := newClient(t)
+	stream, err := client.Open(context.Background(), newCall(address), 2)
+	must.NoError(t, err)
+	text, err := collect(stream)
+	must.NoError(t, err)
+	must.Eq(t, strings.Join(engineserver.Tokens(versionID, tokenCount)[2:], ""), text)
+	must.Eq(t, 2, server.Calls()[0].After)
+}
+
+func TestStreamsReuseTheirConnection(t *testing.T) {
+	server := newEngine(engineserver.FaultNone, false)
+	address := loopback.Serve(t, server.Handle)
+	client := newClient(t)
+	for range 3 {
+		stream, err := client.Open(context.Background(), newCall(address), 0)
+		must.NoError(t, err)
+		text, err := collect(stream)
+		must.NoError(t, err)
+		must.Eq(t, wholeText(), text)
+	}
+}
--- /dev/null
+++ b/internal/transport/httpconn/call_test.go
@@ -0,0 +1,282 @@
+package httpconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/transport/httpconn"
+)
+
+// script answers each connection by the function of its number.
+type script struct {
+	listener net.Listener
+	accepted atomic.Int64
+	requests atomic.Int64
+}
+
+// startScript serves connections until the test ends. serve gets the number
+// of the connection and a function that reads one request.
+func startScript(t *testing.T, serve func(number int64, c net.Conn, readRequest func() bool)) *script {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &script{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, serve)
+		}
+	}()
+	return s
+}
+
+func (s *script) serve(c net.Conn, serve func(number int64, c net.Conn, readRequest func() bool)) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	serve(s.accepted.Add(1), c, func() bool {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return false
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.requests.Add(1)
+		return true
+	})
+}
+
+func (s *script) address() string { return s.listener.Addr().String() }
+
+func answerWith(text string) func(int64, net.Conn, func() bool) {
+	return func(_ int64, c net.Conn, readRequest func() bool) {
+		for readRequest() {
+			if _, err := io.WriteString(c, text); err != nil || !strings.Contains(text, "keep") {
+				return
+			}
+		}
+	}
+}
+
+func newPool(t *testing.T) *httpconn.Pool {
+	t.Helper()
+	opts := httpconn.DefaultOptions()
+	opts.MaxBody = 100
+	pool := httpconn.NewPool(opts)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func post(t *testing.T, pool *httpconn.Pool, address string, reuse httpconn.Reuse) (*fasthttp.Response, error) {
+	t.Helper()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + address + "/")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyString("work")
+	resp := &fasthttp.Response{}
+	return resp, pool.Do(context.Background(), address, req, resp, reuse)
+}
+
+func TestDoTakesOnlyWholeResponses(t *testing.T) {
+	cases := []struct {
+		name, text string
+		whole      bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", true},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", true},
+		{"interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", true},
+		{"cut by length", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone", false},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\ndone", false},
+		{"cut before the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", false},
+		{"ends with its connection", "HTTP/1.1 200 OK\r\n\r\ndone", false},
+		{"cut in the header", "HTTP/1.1 200 OK\r\nContent-Le", false},
+		{"garbage", "\x00\x01\x02 garbage\r\n\r\n", false},
+		{"body over the bound", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101), false},
+		{"chunks over the bound", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", false},
+		{"nothing", "", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := startScript(t, answerWith(tc.text))
+			resp, err := post(t, newPool(t), server.address(), httpconn.ReuseIdle)
+			if tc.whole {
+				must.NoError(t, err)
+				must.Eq(t, "done", string(resp.Body()))
+				return
+			}
+			must.Error(t, err)
+			must.True(t, httpconn.MayHaveRun(err))
+			must.Eq(t, 1, server.requests.Load())
+		})
+	}
+}
+
+func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := listener.Addr().String()
+	must.NoError(t, listener.Close())
+	_, err = post(t, newPool(t), address, httpconn.ReuseNone)
+	must.Error(t, err)
+	must.False(t, httpconn.MayHaveRun(err))
+}
+
+func TestEndedContextProvesThatNothingRan(t *testing.T) {
+	server := startScript(t, answerWith(""))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + server.address() + "/")
+	err := newPool(t).Do(ctx, server.address(), req, &fasthttp.Response{}, httpconn.ReuseNone)
+	must.ErrorIs(t, err, context.Canceled)
+	must.False(t, httpconn.MayHaveRun(err))
+}
+
+const keptAlive = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Note: keep\r\n\r\ndone"
+
+func TestReuseIdleKeepsConnections(t *testing.T) {
+	server := startScript(t, answerWith(keptAlive))
+	pool := newPool(t)
+	for range 3 {
+		_, err := post(t, pool, server.address(), httpconn.ReuseIdle)
+		must.NoError(t, err)
+	}
+	must.Eq(t, 1, server.accepted.Load())
+}
+
+func TestReuseNoneTakesNewConnections(t *testing.T) {
+	server := startScript(t, answerWith(keptAlive))
+	pool := newPool(t)
+	for range 3 {
+		_, err := post(t, pool, server.address(), httpconn.ReuseNone)
+		must.NoError(t, err)
+	}
+	must.Eq(t, 3, server.accepted.Load())
+}
+
+// closeAfterOne answers one request a connection and then closes it, although
+// it promised to keep it.
+func closeAfterOne(_ int64, c net.Conn, readRequest func() bool) {
+	if readRequest() {
+		_, _ = io.WriteString(c, keptAlive)
+	}
+}
+
+func TestReuseIdleReplacesClosedConnection(t *testing.T) {
+	server := startScript(t, closeAfterOne)
+	pool := newPool(t)
+	for range 3 {
+		_, err := post(t, pool, server.address(), httpconn.ReuseIdle)
+		must.NoError(t, err)
+	}
+	must.Eq(t, 3, server.requests.Load())
+}
+
+func TestResponseBeyondItsEndIsNotGivenToTheNextCall(t *testing.T) {
+	extra := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Note: keep\r\n\r\nother"
+	server := startScript(t, answerWith(keptAlive+extra))
+	pool := newPool(t)
+	for range 2 {
+		resp, err := post(t, pool, server.address(), httpconn.ReuseIdle)
+		must.NoError(t, err)
+		must.Eq(t, "done", string(resp.Body()))
+	}
+}
+
+func TestEndOfContextEndsCall(t *testing.T) {
+	received := make(chan struct{})
+	closed := make(chan struct{})
+	server := startScript(t, func(_ int64, c net.Conn, readRequest func() bool) {
+		readRequest()
+		close(received)
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		cancel()
+	}()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + server.address() + "/")
+	err := newPool(t).Do(ctx, server.address(), req, &fasthttp.Response{}, httpconn.ReuseNone)
+	must.ErrorIs(t, err, context.Canceled)
+	must.True(t, httpconn.MayHaveRun(err))
+	<-closed
+}
+
+func TestSilentServerEndsCall(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	server := startScript(t, func(_ int64, _ net.Conn, readRequest func() bool) {
+		readRequest()
+		<-release
+	})
+	opts := httpconn.DefaultOptions()
+	opts.IdleTimeout = 20 * time.Millisecond
+	pool := httpconn.NewPool(opts)
+	defer pool.Close()
+	_, err := post(t, pool, server.address(), httpconn.ReuseIdle)
+	var timeout net.Error
+	must.True(t, errors.As(err, &timeout) && timeout.Timeout())
+	must.True(t, httpconn.MayHaveRun(err))
+}
+
+func TestStreamArrivesInParts(t *testing.T) {
+	proceed := make(chan struct{})
+	server := startScript(t, func(_ int64, c net.Conn, readRequest func() bool) {
+		for readRequest() {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+			<-proceed
+			_, _ = io.WriteString(c, "4\r\nlast\r\n0\r\n\r\n")
+		}
+	})
+	pool := newPool(t)
+	for range 2 {
+		req := &fasthttp.Request{}
+		req.SetRequestURI("http://" + server.address() + "/")
+		resp := &fasthttp.Response{}
+		stream, err := pool.Open(context.Background(), server.address(), req, resp, httpconn.ReuseIdle)
+		must.NoError(t, err)
+		first := make([]byte, 5)
+		_, err = io.ReadFull(stream, first)
+		must.NoError(t, err)
+		must.Eq(t, "first", string(first))
+		proceed <- struct{}{}
+		rest, err := io.ReadAll(stream)
+		must.NoError(t, err)
+		must.Eq(t, "last", string(rest))
+		stream.Close()
+	}
+	must.Eq(t, 1, server.accepted.Load())
+}
+
+func TestClosedStreamClosesItsConnection(t *testing.T) {
+	closed := make(chan struct{})
+	server := startScript(t, func(_ int64, c net.Conn, readRequest func() bool) {
+		readRequest()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + server.address() + "/")
+	resp := &fasthttp.Response{}
+	stream, err := newPool(t).Open(context.Background(), server.address(), req, resp, httpconn.ReuseIdle)
+	must.NoError(t, err)
+	stream.Close()
+	<-closed
+}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -26,8 +26,9 @@
 	MaxIdle int
 	// MaxBody bounds a whole response body in bytes.
 	MaxBody int
-	// TLS is nil for plain HTTP.
-	TLS *tls.Config
+	// TLS returns the configuration for the server at an IP number; nil means
+	// plain HTTP.
+	TLS func(ip string) *tls.Config
 }
 
 // DefaultOptions returns options that suit calls within a failure domain.
@@ -147,6 +148,10 @@
 	if p.opts.TLS == nil {
 		return p.dialer.DialContext(ctx, "tcp", address)
 	}
-	tlsDialer := tls.Dialer{NetDialer: &p.dialer, Config: p.opts.TLS}
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	tlsDialer := tls.Dialer{NetDialer: &p.dialer, Config: p.opts.TLS(ip)}
 	return tlsDialer.DialContext(ctx, "tcp", address)
 }
--- /dev/null
+++ b/internal/transport/tlsfiles/tlsfiles.go
@@ -0,0 +1,179 @@
+// Package tlsfiles serves certificates from files that are read again when
+// they change, so that a certificate is renewed without a restart.
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"expvar"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+)
+
+// ErrUnusable is the kind of error of certificate files.
+var ErrUnusable = merry.Sentinel("certificate files can't be used; check that they are readable, in PEM, and that key and certificate match")
+
+// checkInterval is the shortest time between two looks at the files.
+const checkInterval = time.Second
+
+var reloadFailures = expvar.NewInt("tls_reload_failures")
+
+// watched is a value that is loaded from files.
+type watched[T any] struct {
+	paths []string
+	load  func() (T, error)
+	now   func() time.Time
+
+	mu       sync.Mutex
+	value    T
+	modified time.Time
+	checked  time.Time
+	failing  bool
+}
+
+func newWatched[T any](now func() time.Time, load func() (T, error), paths ...string) (*watched[T], error) {
+	w := &watched[T]{paths: paths, load: load, now: now}
+	modified, err := w.lastModified()
+	if err != nil {
+		return nil, merry.Prepend(ErrUnusable, err.Error())
+	}
+	value, err := load()
+	if err != nil {
+		return nil, merry.Prepend(ErrUnusable, err.Error())
+	}
+	w.value, w.modified, w.checked = value, modified, now()
+	return w, nil
+}
+
+func (w *watched[T]) lastModified() (time.Time, error) {
+	var last time.Time
+	for _, path := range w.paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			return last, err
+		}
+		if info.ModTime().After(last) {
+			last = info.ModTime()
+		}
+	}
+	return last, nil
+}
+
+// get returns the latest value that could be loaded. While the files are
+// unusable, for example half written, the value before stays in use.
+func (w *watched[T]) get() T {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.now().Sub(w.checked) < checkInterval {
+		return w.value
+	}
+	w.checked = w.now()
+	modified, err := w.lastModified()
+	if err == nil && modified.Equal(w.modified) {
+		return w.value
+	}
+	value, loadErr := w.load()
+	if err != nil || loadErr != nil {
+		w.noteFailure()
+		return w.value
+	}
+	w.value, w.modified, w.failing = value, modified, false
+	logrus.WithField("files", w.paths).Info("certificate files read again")
+	return w.value
+}
+
+func (w *watched[T]) noteFailure() {
+	reloadFailures.Add(1)
+	if !w.failing {
+		logrus.WithField("files", w.paths).Warn("changed certificate files can't be used; the ones before stay in use")
+	}
+	w.failing = true
+}
+
+// Certificate is a server certificate with its key.
+type Certificate struct {
+	pair *watched[*tls.Certificate]
+}
+
+// LoadCertificate reads a certificate and its key. The error is of the kind
+// ErrUnusable.
+func LoadCertificate(certificateFile, keyFile string) (*Certificate, error) {
+	load := func() (*tls.Certificate, error) {
+		pair, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+		return &pair, err
+	}
+	pair, err := newWatched(time.Now, load, certificateFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	return &Certificate{pair: pair}, nil
+}
+
+// ServerConfig returns the configuration of a TLS server with the latest
+// certificate.
+func (c *Certificate) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		NextProtos:     []string{"http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.pair.get(), nil },
+	}
+}
+
+// Authorities are the certificates that servers are checked against.
+type Authorities struct {
+	pool *watched[*x509.CertPool]
+}
+
+// LoadAuthorities reads certificates in PEM. The error is of the kind
+// ErrUnusable.
+func LoadAuthorities(path string) (*Authorities, error) {
+	load := func() (*x509.CertPool, error) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(text) {
+			return nil, merry.New(path + " holds no certificate in PEM")
+		}
+		return pool, nil
+	}
+	pool, err := newWatched(time.Now, load, path)
+	if err != nil {
+		return nil, err
+	}
+	return &Authorities{pool: pool}, nil
+}
+
+// ClientConfig returns the configuration of a TLS client that checks the
+// server at an IP number against the latest authorities.
+func (a *Authorities) ClientConfig(ip string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"http/1.1"},
+		ServerName: ip,
+		// The usual check knows only authorities fixed at the start; the same
+		// check against the latest ones is done in VerifyConnection.
+		InsecureSkipVerify: true,
+		VerifyConnection:   func(state tls.ConnectionState) error { return a.verify(state, ip) },
+	}
+}
+
+// verify takes the IP number from the call, since the state of a connection
+// holds no server name where it is an IP number.
+func (a *Authorities) verify(state tls.ConnectionState, ip string) error {
+	opts := x509.VerifyOptions{
+		Roots:         a.pool.get(),
+		DNSName:       ip,
+		Intermediates: x509.NewCertPool(),
+	}
+	for _, certificate := range state.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(opts)
+	return err
+}
