Prove the callers' interface, and a planned stop under load

Contract tests of the callers' interface check that every refusal is typed and names a remedy, that a path in another form can't pass by a pattern of calls that may not be repeated, and that garbage on one connection reaches no other. Callers that stop reading lose their connection; requests that can't be read, or are over a limit, get the typed form as well.

Twelve callers that obey the entries answer go on sending while one of two instances is stopped: no request is cut. The test found that an instance which knew no other answered an empty list, which left a caller with no way on; it is refused with the time to come back now. The stop also waits for the time that other instances may need to learn of it.

A hang of the engine tests (one run in about thirty) came from the test server: a Shutdown before Serve has begun leaves it serving for ever.

--- /dev/null
+++ b/internal/instance/harness_test.go
@@ -0,0 +1,265 @@
+package instance_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/instance"
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/entries"
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/protocol/settings"
+	"medlarslip/internal/protocol/signed"
+	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/logservice"
+	"medlarslip/internal/standin/loopback"
+	"medlarslip/internal/standin/platformserver"
+	"medlarslip/internal/standin/serviceserver"
+)
+
+const (
+	apiKey       = "secret"
+	entriesTTL   = 300 * time.Millisecond
+	answerTokens = 20
+	// startLimit bounds the wait for an instance to be ready; a test that
+	// reaches it fails.
+	startLimit = 30 * time.Second
+)
+
+const fleetDocument = `schema: 1
+models:
+  - name: small
+    versions:
+      - {id: small-1, withdrawn: false, micros_per_thousand_tokens: 100, quality: 0.7}
+  - name: large
+    versions:
+      - {id: large-1, withdrawn: false, micros_per_thousand_tokens: 1000, quality: 0.95}
+cascades:
+  - {name: draft, steps: [small, large], quality_target: 0.8, when_withdrawn: reassign}
+kinds:
+  - {name: report, first_token_ms: 20000, total_ms: 20000, priority: 5, latency_weight: 0.2}
+rollouts: []
+client_accounts:
+  - name: technicians
+    key_hashes: [2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b]
+    allowed_versions: [small-1, large-1]
+    allowed_services: [ledger]
+    default_kind: report
+    max_in_flight: 1000
+plain_services:
+  - {name: ledger, timeout_ms: 10000, non_idempotent: [{method: POST, path_prefix: /bookings}], status_path: "/bookings/{key}"}
+failure_domains:
+  - {name: wdh-a, out: false}
+  - {name: wdh-b, out: false}
+cold_limits: []
+`
+
+// fleet is a platform, backend servers and entry instances in one process.
+type fleet struct {
+	t        *testing.T
+	platform *platformserver.Server
+	log      *logservice.Service
+	address  string
+	engine   *engineserver.Engine
+	ledger   *serviceserver.Service
+
+	operatorKey ed25519.PrivateKey
+	publicKey   ed25519.PublicKey
+
+	mu        sync.Mutex
+	instances []platform.Instance
+	entries   map[string]*runningEntry
+}
+
+// runningEntry is one entry instance.
+type runningEntry struct {
+	callers string
+	admin   string
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(nil)
+	must.NoError(t, err)
+	f := &fleet{t: t, operatorKey: private, publicKey: public, log: logservice.New(0), entries: map[string]*runningEntry{}}
+	f.platform = platformserver.New(f.log, func(*platform.RatingRequest) float64 { return 0.9 })
+	f.address = loopback.Serve(t, f.platform.Handle)
+	f.engine = engineserver.New(engineserver.Config{Tokens: answerTokens, TokenTime: 5 * time.Millisecond, MaxRunning: 1000, Resumable: true})
+	f.ledger = serviceserver.New()
+	f.addBackend("engine-1", platform.RoleEngine, loopback.Serve(t, f.engine.Handle), "small-1", "large-1")
+	f.addBackend("ledger-1", platform.RoleService, loopback.Serve(t, f.ledger.Handle), "ledger")
+	f.publish(fleetDocument)
+	return f
+}
+
+func (f *fleet) addBackend(id string, role platform.Role, address string, serves ...string) {
+	f.list(platform.Instance{ID: id, Address: address, Role: role, Serves: serves, FailureDomain: "wdh-a", State: platform.InstanceLive, Incarnation: "1"})
+}
+
+func (f *fleet) list(row platform.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = append(f.instances, row)
+	f.platform.SetInstances(platform.InstanceList{Instances: append([]platform.Instance(nil), f.instances...)})
+}
+
+func (f *fleet) publish(text string) {
+	f.t.Helper()
+	doc, err := document.Parse([]byte(text))
+	must.NoError(f.t, err)
+	publisher := &configuration.Publisher{Log: f.log, Keys: signed.OperatorKeys{"anna": f.publicKey}, Operator: "anna", Key: f.operatorKey, Now: time.Now}
+	base, err := publisher.Load(context.Background())
+	must.NoError(f.t, err)
+	_, err = publisher.Publish(context.Background(), base, doc, "test")
+	must.NoError(f.t, err)
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { must.NoError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+// start starts an entry instance and waits until it answers.
+func (f *fleet) start(id string) *runningEntry {
+	f.t.Helper()
+	s := &settings.Entry{
+		Instance: id, FailureDomain: "wdh-a", Region: "windhoek",
+		Listen:   settings.Listen{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Metrics: freeAddress(f.t)},
+		Platform: settings.Platform{Log: f.address, Instances: f.address, Ratings: f.address, Weights: f.address},
+		Keys: settings.Keys{SharedKeyFile: "unused", Operators: []settings.OperatorKey{
+			{Name: "anna", PublicKey: base64.StdEncoding.EncodeToString(f.publicKey)},
+		}},
+		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8192, MaxConnections: 1000, MaxConnectionsPerIP: 1000, StreamIdleMillis: 10000, ConnectTimeoutMillis: 1000},
+		Drain:  settings.Drain{EntriesTTLMillis: int(entriesTTL.Milliseconds()), LongestRequestMillis: 20000},
+	}
+	must.NoError(f.t, s.Validate())
+	in, err := instance.New(s, []byte("0123456789abcdef0123456789abcdef"))
+	must.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &runningEntry{callers: s.Listen.Callers, admin: s.Listen.Metrics, cancel: cancel, done: make(chan error, 1)}
+	go func() { e.done <- in.Run(ctx) }()
+	f.list(platform.Instance{ID: id, Address: s.Listen.Callers, ControlAddress: s.Listen.Peers, Role: platform.RoleEntry, FailureDomain: "wdh-a", State: platform.InstanceLive})
+	f.entries[id] = e
+	f.awaitReady(e)
+	for _, other := range f.entries {
+		f.awaitEntries(other)
+	}
+	return e
+}
+
+// awaitEntries waits until the instance names all others in its answer.
+func (f *fleet) awaitEntries(e *runningEntry) {
+	f.t.Helper()
+	deadline := time.Now().Add(startLimit)
+	for {
+		var answer entries.Answer
+		r, err := call(e.callers, fasthttp.MethodGet, entries.Path, "", "")
+		if err == nil && json.Unmarshal([]byte(r.body), &answer) == nil && len(answer.Entries) == len(f.entries) {
+			return
+		}
+		must.True(f.t, time.Now().Before(deadline))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// awaitReady waits until the instance answers a request of each kind.
+func (f *fleet) awaitReady(e *runningEntry) {
+	f.t.Helper()
+	deadline := time.Now().Add(startLimit)
+	for {
+		chat, chatErr := call(e.callers, fasthttp.MethodPost, "/v1/chat/completions", chatBody(false), "")
+		read, readErr := call(e.callers, fasthttp.MethodGet, "/v1/services/ledger/bookings/none", "", "")
+		if chatErr == nil && readErr == nil && chat.status == fasthttp.StatusOK && read.status == fasthttp.StatusNotFound {
+			return
+		}
+		must.True(f.t, time.Now().Before(deadline))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// stop carries out a planned stop, of which the platform's list learns too,
+// and returns its result.
+func (f *fleet) stop(id string) error {
+	f.markLeaving(id)
+	e := f.entries[id]
+	delete(f.entries, id)
+	e.cancel()
+	return <-e.done
+}
+
+func (f *fleet) markLeaving(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.instances {
+		if f.instances[i].ID == id {
+			f.instances[i].State = platform.InstanceLeaving
+		}
+	}
+	f.platform.SetInstances(platform.InstanceList{Instances: append([]platform.Instance(nil), f.instances...)})
+}
+
+func (f *fleet) stopAll() {
+	f.t.Helper()
+	for _, e := range f.entries {
+		e.cancel()
+	}
+	for id, e := range f.entries {
+		must.NoError(f.t, <-e.done, must.Sprint(id))
+	}
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	header  fasthttp.ResponseHeader
+	body    string
+	version string
+}
+
+func chatBody(stream bool) string {
+	return fmt.Sprintf(`{"model":"draft","stream":%t,"messages":[{"role":"user","content":"hello"}]}`, stream)
+}
+
+// callerClient keeps connections, as callers do, and repeats nothing.
+var callerClient = fasthttp.Client{
+	MaxIdemponentCallAttempts: 1,
+	RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	MaxConnsPerHost:           1000,
+}
+
+func call(address, method, path, body, idempotencyKey string) (*reply, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	req.SetBodyString(body)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := callerClient.DoTimeout(req, resp, startLimit); err != nil {
+		return nil, err
+	}
+	r := &reply{status: resp.StatusCode(), body: string(resp.Body()), version: string(resp.Header.Peek("X-Medlarslip-Version"))}
+	resp.Header.CopyTo(&r.header)
+	return r, nil
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
@@ -15,9 +16,14 @@
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/transport/adminapi"
 	"medlarslip/internal/transport/callerapi"
+	"medlarslip/internal/transport/idlelisten"
 	"medlarslip/internal/transport/tlsfiles"
 )
 
+// leaveSpreadTime is how long the other instances may take to learn that this
+// one leaves.
+const leaveSpreadTime = 3 * time.Second
+
 // Instance is one entry instance.
 type Instance struct {
 	parts   *assembly
@@ -41,11 +47,13 @@
 	in.drainer = drain.New(drain.Steps{
 		Leave:          parts.members.Leave,
 		Shutdown:       func(ctx context.Context) error { return in.callers.ShutdownWithContext(ctx) },
+		SpreadTime:     leaveSpreadTime,
 		EntriesTTL:     s.Drain.EntriesTTL(),
 		LongestRequest: s.Drain.LongestRequest(),
 	})
 	callers := &callerapi.Server{Router: parts.newRouter(), Config: parts.store, Entries: parts.members, Closing: in.drainer.Closing}
 	in.callers = newServer(s, callers.Handle)
+	in.callers.ErrorHandler = callers.HandleError
 	admin := &adminapi.Server{Instance: s.Instance, Config: parts.store, Explanations: parts.explanations, Leaving: in.drainer.Closing}
 	in.admin = newServer(s, admin.Handle)
 	return in, nil
@@ -69,6 +77,7 @@
 		ReadBufferSize:        s.Limits.MaxHeaderBytes,
 		Concurrency:           s.Limits.MaxConnections,
 		MaxConnsPerIP:         s.Limits.MaxConnectionsPerIP,
+		ReadTimeout:           s.Limits.StreamIdle(),
 		IdleTimeout:           s.Limits.StreamIdle(),
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
@@ -106,6 +115,7 @@
 	if err != nil {
 		return merry.Prepend(err, "listen to callers; check listen.callers")
 	}
+	callers = idlelisten.Wrap(callers, in.parts.settings.Limits.StreamIdle())
 	if in.callersTLS != nil {
 		callers = tls.NewListener(callers, in.callersTLS)
 	}
--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -30,6 +30,7 @@
 	KindUnknownService     Kind = "unknown_service"
 	KindTooLarge           Kind = "too_large"
 	KindNoConfiguration    Kind = "no_configuration"
+	KindNoEntry            Kind = "no_entry_instance"
 	KindVersionWithdrawn   Kind = "version_withdrawn"
 	KindNoBackend          Kind = "no_backend_server"
 	KindOverloaded         Kind = "overloaded"
@@ -110,6 +111,7 @@
 	KindUnknownService:     404,
 	KindTooLarge:           413,
 	KindNoConfiguration:    503,
+	KindNoEntry:            503,
 	KindVersionWithdrawn:   409,
 	KindNoBackend:          503,
 	KindOverloaded:         429,
--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -2,13 +2,19 @@
 package loopback
 
 import (
+	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 )
 
+// shutdownLimit bounds the wait for handlers that are still busy when their
+// test ends, such as reads that wait for the next record.
+const shutdownLimit = 50 * time.Millisecond
+
 // Serve serves a handler on a free port until the test ends and returns its
 // address.
 func Serve(t testing.TB, handler fasthttp.RequestHandler) string {
@@ -19,7 +25,11 @@
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	t.Cleanup(func() {
-		_ = server.Shutdown()
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		_ = server.ShutdownWithContext(ctx)
+		// A server that has not begun to serve yet is not ended by Shutdown.
+		_ = listener.Close()
 		<-done
 	})
 	return listener.Addr().String()
--- a/internal/transport/callerapi/chat.go
+++ b/internal/transport/callerapi/chat.go
@@ -90,12 +90,21 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer recoverStream(call.RequestID)
 		defer stream.Close()
 		relay(w, stream)
 	})
 	return nil
 }
 
+// recoverStream keeps a fault in one stream from ending the process; the
+// caller misses the end mark.
+func recoverStream(requestID string) {
+	if fault := recover(); fault != nil {
+		logFault(requestID, fault)
+	}
+}
+
 // relay passes a stream on, one event at a time. A failed write means that
 // the caller went away.
 func relay(w *bufio.Writer, stream *dispatch.ChatStream) {
--- a/internal/transport/callerapi/server.go
+++ b/internal/transport/callerapi/server.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"strings"
 	"time"
@@ -55,9 +56,13 @@
 var (
 	requestCount = expvar.NewMap("caller_requests")
 	refusalCount = expvar.NewMap("caller_refusals")
+	faultCount   = expvar.NewInt("caller_program_faults")
 )
 
-const noConfigurationRetry = time.Second
+const (
+	noConfigurationRetry = time.Second
+	noEntryRetry         = time.Second
+)
 
 // Handle is the fasthttp handler of the callers' interface.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
@@ -75,17 +80,35 @@
 // recoverPanic keeps a fault in one request from ending the process.
 func (s *Server) recoverPanic(ctx *fasthttp.RequestCtx, requestID string) {
 	if fault := recover(); fault != nil {
-		logrus.WithField("request_id", requestID).Errorf("request failed by a fault of the program: %v", fault)
+		logFault(requestID, fault)
 		writeRefusal(ctx, refusal.NewUnknown(refusal.KindInternal, "internal error", "report the request ID to the operators"), requestID)
 	}
 }
 
+func logFault(requestID string, fault any) {
+	faultCount.Add(1)
+	logrus.WithField("request_id", requestID).Errorf("request failed by a fault of the program: %v", fault)
+}
+
+// HandleError answers requests that fasthttp could not read.
+func (s *Server) HandleError(ctx *fasthttp.RequestCtx, err error) {
+	requestID := xid.New().String()
+	ctx.Response.Header.Set(HeaderRequestID, requestID)
+	refused := refusal.New(refusal.KindBadRequest, "the request can't be read: "+err.Error(), "send HTTP/1.1 as the callers' page says")
+	var small *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
+		refused = refusal.New(refusal.KindTooLarge, "the request is over the limits of this instance", "send a smaller body or header")
+	}
+	ctx.SetConnectionClose()
+	writeRefusal(ctx, refused, requestID)
+}
+
 func (s *Server) route(ctx *fasthttp.RequestCtx, requestID string) *refusal.Refusal {
 	path := string(ctx.Path())
 	switch {
 	case path == entries.Path && ctx.IsGet():
 		requestCount.Add("entries", 1)
-		return writeJSON(ctx, s.Entries.Entries())
+		return s.entries(ctx)
 	case path == openai.ModelsPath && ctx.IsGet():
 		requestCount.Add("models", 1)
 		return s.models(ctx)
@@ -100,6 +123,16 @@
 	}
 }
 
+// entries answers which entry instances to use. An empty list would leave the
+// caller without any way on, so it is told to ask again instead.
+func (s *Server) entries(ctx *fasthttp.RequestCtx) *refusal.Refusal {
+	answer := s.Entries.Entries()
+	if len(answer.Entries) == 0 {
+		return refusal.New(refusal.KindNoEntry, "this instance is leaving and knows no other", "ask another instance, or this one again after the given wait").After(noEntryRetry)
+	}
+	return writeJSON(ctx, answer)
+}
+
 // caller is an authenticated caller under the configuration in force.
 type caller struct {
 	config  *configuration.InForce
