--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -67,7 +67,7 @@
 
 // fleet is a platform, backend servers and entry instances in one process.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platformserver.Server
 	log      *logservice.Service
 	address  string
@@ -90,16 +90,26 @@
 	done    chan error
 }
 
-func newFleet(t *testing.T) *fleet {
+// newFleet starts a platform, one engine and one ledger.
+func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	engine := engineserver.New(engineserver.Config{Tokens: answerTokens, TokenTime: 5 * time.Millisecond, MaxRunning: 1000, Resumable: true})
+	return newFleetWith(t, engine)
+}
+
+// newFleetWith starts a platform, a ledger, and the engine unless it is nil.
+func newFleetWith(t testing.TB, engine *engineserver.Engine) *fleet {
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(nil)
 	must.NoError(t, err)
 	f := &fleet{t: t, operatorKey: private, publicKey: public, log: logservice.New(0), entries: map[string]*runningEntry{}}
 	f.platform = platformserver.New(f.log, func(*platform.RatingRequest) float64 { return 0.9 })
 	f.address = loopback.Serve(t, f.platform.Handle)
-	f.engine = engineserver.New(engineserver.Config{Tokens: answerTokens, TokenTime: 5 * time.Millisecond, MaxRunning: 1000, Resumable: true})
+	f.engine = engine
 	f.ledger = serviceserver.New()
-	f.addBackend("engine-1", platform.RoleEngine, loopback.Serve(t, f.engine.Handle), "small-1", "large-1")
+	if engine != nil {
+		f.addBackend("engine-1", platform.RoleEngine, loopback.Serve(t, engine.Handle), "small-1", "large-1")
+	}
 	f.addBackend("ledger-1", platform.RoleService, loopback.Serve(t, f.ledger.Handle), "ledger")
 	f.publish(fleetDocument)
 	return f
@@ -128,7 +138,7 @@
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
--- /dev/null
+++ b/internal/instance/path_bench_test.go
@@ -0,0 +1,191 @@
+package instance_test
+
+import (
+	"net"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/loopback"
+)
+
+const (
+	benchWorkers = 32
+	benchEngines = 4
+)
+
+// forwarder is the baseline: it passes requests on to one server after the
+// other, and does nothing else.
+type forwarder struct {
+	clients []*fasthttp.HostClient
+	next    atomic.Uint64
+}
+
+func newForwarder(addresses []string) *forwarder {
+	f := &forwarder{}
+	for _, address := range addresses {
+		f.clients = append(f.clients, &fasthttp.HostClient{Addr: address, MaxConns: 1000, StreamResponseBody: true})
+	}
+	return f
+}
+
+func (f *forwarder) handle(ctx *fasthttp.RequestCtx) {
+	client := f.clients[f.next.Add(1)%uint64(len(f.clients))]
+	if err := client.Do(&ctx.Request, &ctx.Response); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadGateway)
+	}
+}
+
+// benchPaths starts engines and the three ways to reach them, and returns the
+// address of each way.
+func benchPaths(b *testing.B) map[string]string {
+	b.Helper()
+	f := newFleetWith(b, nil)
+	var addresses []string
+	for range benchEngines {
+		engine := engineserver.New(engineserver.Config{Tokens: answerTokens, MaxRunning: 1000})
+		engine.DropCalls()
+		addresses = append(addresses, loopback.Serve(b, engine.Handle))
+	}
+	for i, address := range addresses {
+		f.addBackend("bench-"+string(rune('a'+i)), platform.RoleEngine, address, "small-1", "large-1")
+	}
+	entry := f.start("entry-1")
+	b.Cleanup(f.stopAll)
+	return map[string]string{
+		"direct":    addresses[0],
+		"forwarder": loopback.Serve(b, newForwarder(addresses).handle),
+		"router":    entry.callers,
+	}
+}
+
+const benchBody = `{"model":"large-1","messages":[{"role":"user","content":"hello"}]}`
+
+// caller is one connection of a benchmark.
+type benchCaller struct {
+	client *fasthttp.HostClient
+	req    fasthttp.Request
+	resp   fasthttp.Response
+}
+
+func newBenchCaller(address, body string) *benchCaller {
+	c := &benchCaller{client: &fasthttp.HostClient{Addr: address, MaxConns: 1}}
+	c.req.SetRequestURI("http://" + address + "/v1/chat/completions")
+	c.req.Header.SetMethod(fasthttp.MethodPost)
+	c.req.Header.Set("Authorization", "Bearer "+apiKey)
+	c.req.Header.Set("X-Request-Id", "bench")
+	c.req.SetBodyString(body)
+	return c
+}
+
+func (c *benchCaller) once(b *testing.B) time.Duration {
+	start := time.Now()
+	must.NoError(b, c.client.Do(&c.req, &c.resp))
+	must.Eq(b, fasthttp.StatusOK, c.resp.StatusCode())
+	return time.Since(start)
+}
+
+// BenchmarkPathThroughput drives each way by callers that send one request
+// after the other, and reports requests a second and allocations a request of
+// the whole process, engines and callers included.
+func BenchmarkPathThroughput(b *testing.B) {
+	paths := benchPaths(b)
+	for _, name := range []string{"direct", "forwarder", "router"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			var wg sync.WaitGroup
+			for range benchWorkers {
+				caller := newBenchCaller(paths[name], benchBody)
+				wg.Go(func() {
+					for left.Add(-1) >= 0 {
+						caller.once(b)
+					}
+				})
+			}
+			wg.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
+
+// BenchmarkPathLatency sends at a fixed rate, the same on each way, and
+// reports the latency of whole answers. The rate is half of what the router
+// carried in the throughput benchmark on the machine of the figures in docs.
+func BenchmarkPathLatency(b *testing.B) {
+	const rate = 4000 // requests a second
+	paths := benchPaths(b)
+	for _, name := range []string{"direct", "forwarder", "router"} {
+		b.Run(name, func(b *testing.B) {
+			durations := make([]time.Duration, b.N)
+			var next atomic.Int64
+			start := time.Now()
+			var wg sync.WaitGroup
+			for range benchWorkers {
+				caller := newBenchCaller(paths[name], benchBody)
+				wg.Go(func() {
+					for i := next.Add(1) - 1; i < int64(b.N); i = next.Add(1) - 1 {
+						time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / rate)))
+						durations[i] = caller.once(b)
+					}
+				})
+			}
+			wg.Wait()
+			reportQuantiles(b, durations)
+		})
+	}
+}
+
+func reportQuantiles(b *testing.B, durations []time.Duration) {
+	slices.Sort(durations)
+	quantile := func(q float64) float64 {
+		return float64(durations[int(q*float64(len(durations)-1))].Microseconds())
+	}
+	b.ReportMetric(quantile(0.5), "p50-us")
+	b.ReportMetric(quantile(0.99), "p99-us")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkFirstToken reports the time from the request to the first byte of
+// the first event of a stream.
+func BenchmarkFirstToken(b *testing.B) {
+	const body = `{"model":"large-1","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+	paths := benchPaths(b)
+	for _, name := range []string{"direct", "forwarder", "router"} {
+		b.Run(name, func(b *testing.B) {
+			caller := newBenchCaller(paths[name], body)
+			durations := make([]time.Duration, b.N)
+			for i := range durations {
+				durations[i] = firstByte(b, paths[name], &caller.req)
+			}
+			reportQuantiles(b, durations)
+		})
+	}
+}
+
+func firstByte(b *testing.B, address string, req *fasthttp.Request) time.Duration {
+	c, err := net.Dial("tcp", address)
+	must.NoError(b, err)
+	defer func() { _ = c.Close() }()
+	start := time.Now()
+	_, err = req.WriteTo(c)
+	must.NoError(b, err)
+	buffer := make([]byte, 4096)
+	read := 0
+	for !slices.Contains(buffer[:read], '{') {
+		n, err := c.Read(buffer[read:])
+		must.NoError(b, err)
+		read += n
+	}
+	runtime.KeepAlive(req)
+	return time.Since(start)
+}
--- a/internal/standin/engineserver/engineserver.go
+++ b/internal/standin/engineserver/engineserver.go
@@ -68,6 +68,8 @@
 	peak   int64
 	// calls lists the attempts in the order in which they came.
 	calls []Seen
+	// dropCalls leaves calls empty.
+	dropCalls bool
 }
 
 // Seen is one request as the engine received it.
@@ -95,6 +97,13 @@
 	return append([]Seen(nil), e.calls...)
 }
 
+// DropCalls stops the engine from keeping the requests that it receives.
+func (e *Engine) DropCalls() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropCalls = true
+}
+
 // Peak returns the highest number of requests that ran at once.
 func (e *Engine) Peak() int64 {
 	e.mu.Lock()
@@ -156,7 +165,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peak = max(e.peak, running)
-	e.calls = append(e.calls, Seen{Attempt: attempt, Model: request.Model, After: after, Messages: request.Messages})
+	if !e.dropCalls {
+		e.calls = append(e.calls, Seen{Attempt: attempt, Model: request.Model, After: after, Messages: request.Messages})
+	}
 	if e.faults == nil {
 		return FaultNone
 	}
