Match the fields of a chat request to the letter, and fuzz the decoders

Fuzzing the request decoder found that a field "messAges" counted as messages here while the engine, which got the body unchanged, saw none: encoding/json matches names without regard to case.

--- a/internal/transport/callerapi/chat.go
+++ b/internal/transport/callerapi/chat.go
@@ -60,9 +60,11 @@
 	if err := json.Unmarshal(body, &call.Body); err != nil {
 		return nil, badBody(err)
 	}
-	if err := json.Unmarshal(body, &call.Request); err != nil {
+	request, err := openai.ParseChatRequest(call.Body)
+	if err != nil {
 		return nil, badBody(err)
 	}
+	call.Request = request
 	if call.Request.Model == "" {
 		return nil, refusal.New(refusal.KindBadRequest, "field model is missing", "name a model that GET /v1/models lists")
 	}
--- /dev/null
+++ b/internal/transport/callerapi/fuzz_test.go
@@ -0,0 +1,69 @@
+package callerapi
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/refusal"
+)
+
+func fuzzCaller() *caller {
+	doc := &document.Document{
+		Kinds:          []document.Kind{{Name: "report"}},
+		ClientAccounts: []document.ClientAccount{{Name: "technicians", DefaultKind: "report", AllowedServices: []string{"ledger"}}},
+		PlainServices:  []document.PlainService{{Name: "ledger"}},
+	}
+	index := document.NewIndex(doc)
+	return &caller{config: &configuration.InForce{Index: index}, account: index.Account("technicians")}
+}
+
+// FuzzChatBody checks that a body is either decoded with all that a request
+// needs or refused as not run.
+func FuzzChatBody(f *testing.F) {
+	f.Add([]byte(`{"model":"draft","messages":[{"role":"user","content":"hello"}],"stream":true}`))
+	f.Add([]byte(`{"model":"draft","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`{"model":{}}`))
+	c := fuzzCaller()
+	f.Fuzz(func(t *testing.T, body []byte) {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.SetBody(body)
+		call, refused := decodeChat(ctx, c, "r1")
+		if refused != nil {
+			must.Eq(t, refusal.NotRun, refused.Outcome)
+			return
+		}
+		must.NotEq(t, "", call.Request.Model)
+		must.Positive(t, len(call.Request.Messages))
+		must.NotNil(t, call.Body["messages"])
+	})
+}
+
+// FuzzServicePath checks that a call of a plain service is passed on only in
+// the form in which it was compared with the patterns.
+func FuzzServicePath(f *testing.F) {
+	f.Add("/v1/services/ledger/bookings?x=1")
+	f.Add("/v1/services/ledger/%62ookings")
+	f.Add("/v1/services/ledger/../ledger//bookings")
+	f.Add("/v1/services/ledger/a;b/c")
+	c := fuzzCaller()
+	f.Fuzz(func(t *testing.T, uri string) {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.Header.SetRequestURI(uri)
+		ctx.Request.Header.SetHost("x")
+		path := string(ctx.Path())
+		if len(path) < len(ServicePathPrefix) || path[:len(ServicePathPrefix)] != ServicePathPrefix {
+			return
+		}
+		call, refused := decodeService(ctx, c, "r1", path[len(ServicePathPrefix):])
+		if refused != nil {
+			must.Eq(t, refusal.NotRun, refused.Outcome)
+			return
+		}
+		must.Eq(t, string(ctx.URI().PathOriginal()), ServicePathPrefix+"ledger"+call.Path)
+	})
+}
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -21,12 +21,9 @@
 
 // Stream implements attempt.Stream.
 type Stream struct {
-	call   *attempt.EngineCall
-	raw    *httpconn.Stream
-	resp   *fasthttp.Response
-	next   func() (sse.Event, error, bool)
-	stop   func()
-	nextID int
+	*events
+	raw  *httpconn.Stream
+	resp *fasthttp.Response
 }
 
 // Open asks for a streamed answer. A positive after resumes the same attempt
@@ -46,31 +43,53 @@
 		fasthttp.ReleaseResponse(resp)
 		return nil, callError(err)
 	}
-	s := &Stream{call: call, raw: raw, resp: resp, nextID: after + 1}
-	if err := s.checkHeader(); err != nil {
+	if err := checkHeader(call, resp); err != nil {
 		raw.Close()
 		fasthttp.ReleaseResponse(resp)
 		return nil, err
 	}
-	s.next, s.stop = iter.Pull2(sse.Read(raw, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
-	return s, nil
+	header := string(resp.Header.Peek(HeaderRequestID))
+	return &Stream{events: readEvents(call, header, after, raw), raw: raw, resp: resp}, nil
 }
 
-func (s *Stream) checkHeader() error {
-	if err := statusError(s.resp); err != nil {
+func checkHeader(call *attempt.EngineCall, resp *fasthttp.Response) error {
+	if err := statusError(resp); err != nil {
 		return err
 	}
-	header := string(s.resp.Header.Peek(HeaderRequestID))
-	if header != "" && header != s.call.AttemptID {
+	header := string(resp.Header.Peek(HeaderRequestID))
+	if header != "" && header != call.AttemptID {
 		return merry.Prependf(attempt.ErrBroken, "stream belongs to attempt %q", header)
 	}
 	return nil
 }
 
+// Close ends the stream; one that was not read to its end is cancelled.
+func (s *Stream) Close() {
+	s.stop()
+	s.raw.Close()
+	fasthttp.ReleaseResponse(s.resp)
+}
+
+// events reads and checks the events of one stream.
+type events struct {
+	call *attempt.EngineCall
+	// header is the attempt that the response names, or empty.
+	header string
+	next   func() (sse.Event, error, bool)
+	stop   func()
+	nextID int
+}
+
+func readEvents(call *attempt.EngineCall, header string, after int, body io.Reader) *events {
+	e := &events{call: call, header: header, nextID: after + 1}
+	e.next, e.stop = iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+	return e
+}
+
 // Next returns the next chunk; io.EOF comes only after the end mark. Any
 // other error is of the kind attempt.ErrBroken.
-func (s *Stream) Next() (*attempt.Chunk, error) {
-	event, err, more := s.next()
+func (e *events) Next() (*attempt.Chunk, error) {
+	event, err, more := e.next()
 	if err != nil {
 		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
 	}
@@ -78,48 +97,41 @@
 		return nil, merry.Prepend(attempt.ErrBroken, "stream ended without its end mark")
 	}
 	if event.Data == openai.DoneMark {
-		return nil, s.drain()
+		return nil, e.drain()
 	}
-	return s.decode(event)
+	return e.decode(event)
 }
 
 // drain reads to the end of the body, so that the connection can be kept.
-func (s *Stream) drain() error {
-	if _, err, more := s.next(); err != nil || more {
+func (e *events) drain() error {
+	if _, err, more := e.next(); err != nil || more {
 		return merry.Prepend(attempt.ErrBroken, "stream goes on after its end mark")
 	}
 	return io.EOF
 }
 
-func (s *Stream) decode(event sse.Event) (*attempt.Chunk, error) {
+func (e *events) decode(event sse.Event) (*attempt.Chunk, error) {
 	chunk := &attempt.Chunk{Data: []byte(event.Data)}
 	if err := json.Unmarshal(chunk.Data, &chunk.Parsed); err != nil {
 		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
 	}
-	if err := checkAttempt(s.call, string(s.resp.Header.Peek(HeaderRequestID)), chunk.Parsed.ID); err != nil {
+	if err := checkAttempt(e.call, e.header, chunk.Parsed.ID); err != nil {
 		return nil, err
 	}
-	if err := checkModel(s.call, chunk.Parsed.Model); err != nil {
+	if err := checkModel(e.call, chunk.Parsed.Model); err != nil {
 		return nil, err
 	}
 	if event.LastEventID == "" {
 		return chunk, nil
 	}
 	id, err := strconv.Atoi(event.LastEventID)
-	if err != nil || id != s.nextID {
-		return nil, merry.Prependf(attempt.ErrBroken, "event %q came instead of event %d", event.LastEventID, s.nextID)
+	if err != nil || id != e.nextID {
+		return nil, merry.Prependf(attempt.ErrBroken, "event %q came instead of event %d", event.LastEventID, e.nextID)
 	}
-	s.nextID++
+	e.nextID++
 	return chunk, nil
 }
 
 // LastEvent returns the number of the last event, or 0 where the engine does
 // not number its events and so can't resume.
-func (s *Stream) LastEvent() int { return s.nextID - 1 }
-
-// Close ends the stream; one that was not read to its end is cancelled.
-func (s *Stream) Close() {
-	s.stop()
-	s.raw.Close()
-	fasthttp.ReleaseResponse(s.resp)
-}
+func (e *events) LastEvent() int { return e.nextID - 1 }
--- a/internal/transport/httpconn/call.go
+++ b/internal/transport/httpconn/call.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -146,11 +145,10 @@
 	if err := c.SetWriteDeadline(time.Now().Add(p.opts.IdleTimeout)); err != nil {
 		return err
 	}
-	writer := bufio.NewWriter(c)
-	if err := req.Write(writer); err != nil {
+	if err := req.Write(c.writer); err != nil {
 		return err
 	}
-	return writer.Flush()
+	return c.writer.Flush()
 }
 
 const identityBody = -2 // ContentLength of a body that ends with its connection
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -72,11 +72,12 @@
 	clear(p.idle)
 }
 
-// conn is one connection with its read buffer.
+// conn is one connection with its buffers.
 type conn struct {
 	net.Conn
 	address     string
 	reader      *bufio.Reader
+	writer      *bufio.Writer
 	idleTimeout time.Duration
 	usedBefore  bool
 	idleSince   time.Time
@@ -138,6 +139,7 @@
 	}
 	c := &conn{Conn: nc, address: address, idleTimeout: p.opts.IdleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.writer = bufio.NewWriter(nc)
 	return c, nil
 }
 
