Merge the coordination of the fleet: gossip, leases of cold servers, load

Cold servers get slots from the holder of a lease, whose fencing number is the offset of its lease record; leaving and liveness spread by gossip.

--- a/internal/coordination/dispatch/stream_test.go
+++ b/internal/coordination/dispatch/stream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/coordination/session"
@@ -98,6 +99,12 @@
 
 func (alwaysWarm) Bound(*document.Index, *backends.Snapshot) int { return -1 }
 
+func (alwaysWarm) Acquire(context.Context, *document.Index, *backends.Snapshot) (coldstart.Slot, error) {
+	return coldstart.Slot{}, nil
+}
+
+func (alwaysWarm) Release(coldstart.Slot, string, time.Duration, bool) {}
+
 type noLearner struct{}
 
 func (noLearner) Observe(*dispatch.Sample) {}
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -8,8 +8,11 @@
 
 	"medlarslip/internal/coordination/billing"
 	"medlarslip/internal/coordination/claims"
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/coordination/loadwatch"
 	"medlarslip/internal/coordination/membership"
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/state/backends"
@@ -42,7 +45,10 @@
 	peerClient   *peer.Client
 	store        *configuration.Store
 	table        *backends.Table
+	gossip       *gossip.Node
 	members      *membership.Members
+	cold         *coldstart.Policy
+	watcher      *loadwatch.Watcher
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
 	explanations *requests.Log
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -1,8 +1,16 @@
 package instance
 
 import (
+	"time"
+
+	"medlarslip/internal/coordination/coldstart"
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/coordination/loadwatch"
 	"medlarslip/internal/coordination/membership"
+	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/transport/enginemetrics"
+	"medlarslip/internal/transport/peergossip"
 )
 
 // addFleet adds the parts that know the other instances and the backend
@@ -18,6 +26,61 @@
 		State:          platform.InstanceLive,
 		Incarnation:    a.incarnation,
 	}
-	a.members = membership.New(self, a.platform, a.table, s.Drain.EntriesTTL())
-	a.followers = append(a.followers, a.members.Run)
+	a.gossip = gossip.New(gossip.Config{
+		Self: gossip.Member{
+			ID: s.Instance, Control: s.Listen.Peers, Callers: s.Listen.Callers, FailureDomain: s.FailureDomain,
+		},
+		Run:       a.incarnation,
+		Transport: peergossip.Transport{Client: a.peerClient},
+		OnEntry:   a.onEntry,
+	})
+	peergossip.Handle(a.peerServer, a.gossip)
+	a.members = membership.New(membership.Config{
+		Self: self, Source: a.platform, Gossip: a.gossip, Table: a.table,
+		TTL: s.Drain.EntriesTTL(), DomainOut: a.domainOut,
+	})
+	a.cold = coldstart.New(coldstart.Config{
+		Instance: s.Instance, Incarnation: a.incarnation, Log: a.log, Members: a.members, Gossip: a.gossip,
+		Peers: a.peerClient, Table: a.table, Index: a.index, LongestCall: s.Drain.LongestRequest(),
+	})
+	a.peerServer.Handle(coldstart.MethodAcquire, a.cold.HandleAcquire)
+	a.peerServer.Handle(coldstart.MethodRelease, a.cold.HandleRelease)
+	a.followers = append(a.followers, a.members.Run, a.gossip.Run, a.cold.Run)
+	a.addLoadWatch()
+}
+
+// addLoadWatch adds the part that knows the load of the backend servers.
+func (a *assembly) addLoadWatch() {
+	a.watcher = loadwatch.New(loadwatch.Config{
+		Self: a.settings.Instance, EntryIDs: a.members.EntryIDs, Table: a.table,
+		Reader: enginemetrics.New(a.backendPool), Gossip: a.gossip,
+	})
+	a.followers = append(a.followers, a.watcher.Run)
+}
+
+// leave tells callers and the other instances that this instance is to stop.
+func (a *assembly) leave() {
+	a.members.Leave()
+	a.cold.Leave()
+}
+
+// index returns the document in force, or nil.
+func (a *assembly) index() *document.Index {
+	if config := a.store.Current(); config != nil {
+		return config.Index
+	}
+	return nil
+}
+
+// domainOut reports whether operators have taken a failure domain out.
+func (a *assembly) domainOut(failureDomain string) bool {
+	index := a.index()
+	return index != nil && index.DomainOut(failureDomain)
+}
+
+// onEntry passes spread entries on to the parts that they concern.
+func (a *assembly) onEntry(entry gossip.Entry, observed time.Time) {
+	a.members.OnEntry(entry)
+	a.cold.OnEntry(entry)
+	a.watcher.OnEntry(entry, observed)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	in.drainer = drain.New(drain.Steps{
-		Leave:          parts.members.Leave,
+		Leave:          parts.leave,
 		Shutdown:       func(ctx context.Context) error { return in.callers.ShutdownWithContext(ctx) },
 		SpreadTime:     leaveSpreadTime,
 		EntriesTTL:     s.Drain.EntriesTTL(),
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -29,15 +29,28 @@
 	Waiting int
 	// CacheUse is the share of the KV cache in use, 0 to 1.
 	CacheUse float64
+	// Started identifies the run of the server's process; 0 if unknown.
+	Started uint16
 	// ReadAt is when the report was read, on the monotonic clock.
 	ReadAt time.Time
 }
 
+// Warmth is what the fleet says of whether a backend server is warm.
+type Warmth struct {
+	// Warm is true once the server has shown that it bears full load.
+	Warm bool
+	// Incarnation and Started name the run of the server that this is about;
+	// Started is 0 if unknown.
+	Incarnation string
+	Started     uint16
+}
+
 // Backend is one backend server with the state that this instance keeps.
 type Backend struct {
 	mu       sync.Mutex
 	server   Server
 	load     Load
+	warmth   Warmth
 	inFlight int
 	answered int
 	failures int
@@ -48,6 +61,7 @@
 type Snapshot struct {
 	Server   Server
 	Load     Load
+	Warmth   Warmth
 	InFlight int
 	// Answered counts good answers since the server started.
 	Answered int
@@ -64,6 +78,7 @@
 	return Snapshot{
 		Server:   b.server,
 		Load:     b.load,
+		Warmth:   b.warmth,
 		InFlight: b.inFlight,
 		Answered: b.answered,
 		Failures: b.failures,
@@ -104,10 +119,20 @@
 	b.latency += time.Duration(latencyWeight * float64(took-b.latency))
 }
 
-// SetLoad notes a load report.
+// Cancel takes back a call that was begun and never sent.
+func (b *Backend) Cancel() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight--
+}
+
+// SetLoad notes a load report, unless a later one is known.
 func (b *Backend) SetLoad(load Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if load.ReadAt.Before(b.load.ReadAt) {
+		return
+	}
 	b.load = load
 }
 
@@ -121,10 +146,25 @@
 	b.server = server
 }
 
+// SetWarmth notes what the fleet says of the warmth of the server.
+func (b *Backend) SetWarmth(warmth Warmth) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warmth = warmth
+}
+
+// Warm reports whether the run of the server that answers now is known to be
+// warm.
+func (s *Snapshot) Warm() bool {
+	sameRun := s.Warmth.Started == 0 || s.Load.Started == 0 || s.Warmth.Started == s.Load.Started
+	return s.Warmth.Warm && s.Warmth.Incarnation == s.Server.Incarnation && sameRun
+}
+
 // Table holds all backend servers.
 type Table struct {
 	mu       sync.Mutex
 	byID     map[string]*Backend
+	place    Place
 	byTarget atomic.Pointer[map[string][]*Backend]
 }
 
@@ -135,6 +175,14 @@
 	return t
 }
 
+// SetPlace sets the place by which the next Apply chooses the servers that
+// this instance sends work to.
+func (t *Table) SetPlace(place Place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place = place
+}
+
 // Apply replaces the list of servers. Servers that stay keep their state.
 func (t *Table) Apply(servers []Server) {
 	t.mu.Lock()
@@ -152,12 +200,22 @@
 			byTarget[target] = append(byTarget[target], backend)
 		}
 	}
+	for target, all := range byTarget {
+		byTarget[target] = subset(all, t.place)
+	}
 	t.byID = byID
 	t.byTarget.Store(&byTarget)
 }
 
-// Serving returns the servers of a version or plain service. The slice must
-// not be changed.
+// Get returns the server of the given ID, or nil.
+func (t *Table) Get(id string) *Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byID[id]
+}
+
+// Serving returns the servers of a version or plain service that this instance
+// sends work to. The slice must not be changed.
 func (t *Table) Serving(target string) []*Backend {
 	return (*t.byTarget.Load())[target]
 }
