--- a/internal/coordination/dispatch/stream_test.go
+++ b/internal/coordination/dispatch/stream_test.go
@@ -89,6 +89,8 @@
 	b.bills = append(b.bills, *bill)
 }
 
+func (b *billBook) Full() bool { return false }
+
 func (b *billBook) all() []records.Bill {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -34,6 +34,20 @@
 	return ids
 }
 
+// EntryInstances returns the entry instances that live, this one included
+// unless it leaves.
+func (m *Members) EntryInstances() []platform.Instance {
+	live := m.live()
+	instances := make([]platform.Instance, len(live))
+	for i, member := range live {
+		instances[i] = platform.Instance{
+			ID: member.ID, Address: member.Callers, ControlAddress: member.Control, Role: platform.RoleEntry,
+			FailureDomain: member.FailureDomain, State: platform.InstanceLive,
+		}
+	}
+	return instances
+}
+
 // ControlAddress returns where a live entry instance listens to its peers.
 func (m *Members) ControlAddress(id string) (string, bool) {
 	for _, member := range m.live() {
