Add the operators' console

Operators had no way to change the configuration but a file and a command. medlarslip-console serves forms for every part of the document. Its draft starts from the document in force; the review page says in plain words what changes, what that touches and what to be warned of, and the signature covers exactly the text that was shown. Where a colleague was faster, the page shows their change and makes one's own again on top of it, item by item; items that both changed are shown and not applied.

Validation stays in document.Parse alone: a form is encoded and parsed as every instance does, and faults are placed beside the fields. Paths of plain services must be printable ASCII now, so that nothing that is signed can be invisible.

A browser cookie is shared between the ports of a host, so pages lie under a random path that the cookie is limited to. Referrer-Policy no-referrer was ruled out: browsers then send Origin: null with forms.

--- /dev/null
+++ b/internal/protocol/document/changes.go
@@ -0,0 +1,240 @@
+package document
+
+import (
+	"slices"
+	"strings"
+)
+
+// ChangeKind says what happens to an item.
+type ChangeKind string
+
+const (
+	// ChangeAdded items are new.
+	ChangeAdded ChangeKind = "added"
+	// ChangeRemoved items are gone.
+	ChangeRemoved ChangeKind = "removed"
+	// ChangeEdited items have other values.
+	ChangeEdited ChangeKind = "changed"
+)
+
+// Detail is one changed field of an item. Before is empty where the item is
+// new, After where it is removed.
+type Detail struct {
+	Label  string
+	Before string
+	After  string
+}
+
+// Change describes what a new document makes of one item.
+type Change struct {
+	Section Section
+	Name    string
+	Kind    ChangeKind
+	// Summary is one sentence in plain words.
+	Summary string
+	Details []Detail
+	// Touches lists what the change has an effect on, in plain words.
+	Touches []string
+	// Warnings lists what an operator must know before signing.
+	Warnings []string
+}
+
+// Server is a backend server that is alive; what is left to serve a version
+// after a change is judged by these.
+type Server struct {
+	FailureDomain string
+	// Serves names the versions or the plain service of the server.
+	Serves []string
+}
+
+// Changes is the description of a new document.
+type Changes struct {
+	Items []Change
+	// Warnings lists what follows from all changes together.
+	Warnings []string
+}
+
+// Empty reports whether nothing changes.
+func (c *Changes) Empty() bool { return len(c.Items) == 0 }
+
+// AllWarnings returns the warnings of the items and of the whole.
+func (c *Changes) AllWarnings() []string {
+	var all []string
+	for _, change := range c.Items {
+		all = append(all, change.Warnings...)
+	}
+	return append(all, c.Warnings...)
+}
+
+// Compare describes in plain words what changes from one document to another
+// and what that touches. before is nil for the first document of a fleet.
+// servers are the backend servers known to be alive; nil where that is not
+// known.
+func Compare(before, after *Document, servers []Server) *Changes {
+	if before == nil {
+		before = &Document{Schema: SchemaVersion}
+	}
+	d := &describer{before: before, after: after, oldIndex: NewIndex(before), newIndex: NewIndex(after), servers: servers}
+	changes := &Changes{}
+	for _, section := range Sections() {
+		changes.Items = append(changes.Items, d.compareSection(section)...)
+	}
+	if len(changes.Items) == 0 && !sameText(before, after) {
+		changes.Items = append(changes.Items, Change{Kind: ChangeEdited, Summary: "Only the order of entries changes."})
+	}
+	changes.Warnings = d.wholeWarnings()
+	return changes
+}
+
+func sameText(a, b *Document) bool {
+	first, errA := Encode(a)
+	second, errB := Encode(b)
+	return errA == nil && errB == nil && string(first) == string(second)
+}
+
+// describer compares two documents.
+type describer struct {
+	before, after      *Document
+	oldIndex, newIndex *Index
+	servers            []Server
+}
+
+func (d *describer) compareSection(section Section) []Change {
+	var changes []Change
+	oldItems, newItems := Items(d.before, section), Items(d.after, section)
+	for _, item := range newItems {
+		old := findItem(oldItems, item.Name)
+		if change, ok := compareItems(old, &item); ok {
+			changes = append(changes, d.explain(change))
+		}
+	}
+	for _, item := range oldItems {
+		if findItem(newItems, item.Name) == nil {
+			change, _ := compareItems(&item, nil)
+			changes = append(changes, d.explain(change))
+		}
+	}
+	return changes
+}
+
+func findItem(items []Item, name string) *Item {
+	i := slices.IndexFunc(items, func(item Item) bool { return item.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &items[i]
+}
+
+// compareItems compares one item; either side may be nil. It reports false
+// where nothing changes.
+func compareItems(before, after *Item) (Change, bool) {
+	switch {
+	case before == nil:
+		return Change{Section: after.Section, Name: after.Name, Kind: ChangeAdded, Details: oneSided(after, true)}, true
+	case after == nil:
+		return Change{Section: before.Section, Name: before.Name, Kind: ChangeRemoved, Details: oneSided(before, false)}, true
+	}
+	change := Change{Section: after.Section, Name: after.Name, Kind: ChangeEdited}
+	for i, property := range after.Properties {
+		if old := before.Properties[i].Value; old != property.Value {
+			change.Details = append(change.Details, Detail{Label: property.Label, Before: old, After: property.Value})
+		}
+	}
+	return change, len(change.Details) > 0
+}
+
+func oneSided(item *Item, added bool) []Detail {
+	details := make([]Detail, 0, len(item.Properties))
+	for _, property := range item.Properties {
+		detail := Detail{Label: property.Label, Before: property.Value}
+		if added {
+			detail = Detail{Label: property.Label, After: property.Value}
+		}
+		details = append(details, detail)
+	}
+	return details
+}
+
+func (d *describer) explain(change Change) Change {
+	change.Summary = d.summary(&change)
+	change.Touches = d.touches(&change)
+	change.Warnings = d.warnings(&change)
+	return change
+}
+
+func (d *describer) summary(change *Change) string {
+	if special := d.specialSummary(change); special != "" {
+		return special
+	}
+	subject := capitalise(change.Section.Singular()) + " " + change.Name
+	switch change.Kind {
+	case ChangeAdded:
+		return subject + " is added."
+	case ChangeRemoved:
+		return subject + " is removed."
+	}
+	labels := make([]string, 0, len(change.Details))
+	for _, detail := range change.Details {
+		labels = append(labels, detail.Label+" from "+detail.Before+" to "+detail.After)
+	}
+	return subject + " changes: " + strings.Join(labels, "; ") + "."
+}
+
+func (d *describer) specialSummary(change *Change) string {
+	if change.Kind != ChangeEdited {
+		return ""
+	}
+	switch change.Section {
+	case SectionDomains:
+		return domainSummary(change.Name, d.newIndex.DomainOut(change.Name))
+	case SectionVersions:
+		return d.versionSummary(change)
+	case SectionRollouts:
+		return d.rolloutSummary(change)
+	}
+	return ""
+}
+
+func domainSummary(name string, out bool) string {
+	if out {
+		return "Failure domain " + name + " is taken out: it receives no new work."
+	}
+	return "Failure domain " + name + " is brought back into service."
+}
+
+func (d *describer) versionSummary(change *Change) string {
+	before, after := d.oldIndex.Version(change.Name), d.newIndex.Version(change.Name)
+	switch {
+	case len(change.Details) != 1 || before.Withdrawn == after.Withdrawn:
+		return ""
+	case after.Withdrawn:
+		return "Version " + change.Name + " is withdrawn: it receives no new work, not even from sessions."
+	}
+	return "Version " + change.Name + " is brought back into service."
+}
+
+func (d *describer) rolloutSummary(change *Change) string {
+	before, after := findRollout(d.before, change.Name), findRollout(d.after, change.Name)
+	if before.Stage == after.Stage || len(change.Details) != 1 {
+		return ""
+	}
+	subject := "Roll-out " + change.Name
+	switch after.Stage {
+	case RolloutHalted:
+		return subject + " is halted: all new work goes to version " + after.From + "."
+	case RolloutDone:
+		return subject + " is finished: all new work goes to version " + after.To + "."
+	}
+	return subject + " goes on with a share of " + rolloutItem(*after).Properties[3].Value + "."
+}
+
+func findRollout(doc *Document, id string) *Rollout {
+	for i := range doc.Rollouts {
+		if doc.Rollouts[i].ID == id {
+			return &doc.Rollouts[i]
+		}
+	}
+	return nil
+}
+
+func capitalise(s string) string { return strings.ToUpper(s[:1]) + s[1:] }
--- /dev/null
+++ b/internal/protocol/document/faults.go
@@ -0,0 +1,112 @@
+package document
+
+import (
+	"errors"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Fault is one fault of a document with the item and field that it concerns.
+type Fault struct {
+	// Section and Name are the item; Name is empty where the fault concerns
+	// a whole section, and both are where it concerns the document.
+	Section Section
+	Name    string
+	// Key is the YAML key of the field, or empty.
+	Key     string
+	Problem string
+	Remedy  string
+}
+
+// Place names item and field of the fault in plain words.
+func (f Fault) Place() string {
+	if f.Section == "" {
+		return "document"
+	}
+	place := f.Section.Singular() + " " + f.Name
+	if f.Name == "" {
+		place = f.Section.Singular() + "s"
+	}
+	if f.Key != "" {
+		place += ", " + strings.ReplaceAll(f.Key, "_", " ")
+	}
+	return place
+}
+
+// Error implements error.
+func (f Fault) Error() string { return f.Place() + ": " + f.Problem + "; " + f.Remedy }
+
+// Faults encodes a document, parses it again as every instance does, and
+// returns what is wrong with it.
+func Faults(doc *Document) []Fault {
+	text, err := Encode(doc)
+	if err != nil {
+		return []Fault{{Problem: err.Error(), Remedy: "correct the document"}}
+	}
+	_, err = Parse(text)
+	if err == nil {
+		return nil
+	}
+	var fieldErrs FieldErrors
+	if !errors.As(err, &fieldErrs) {
+		return []Fault{{Problem: err.Error(), Remedy: "correct the document"}}
+	}
+	faults := make([]Fault, 0, len(fieldErrs))
+	for _, fieldErr := range fieldErrs {
+		fault := locate(doc, fieldErr)
+		fault.Problem = pathInText.ReplaceAllStringFunc(fault.Problem, func(path string) string {
+			if place := locate(doc, FieldError{Field: path}); slices.Contains(Sections(), place.Section) {
+				return place.Place()
+			}
+			return path
+		})
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
+var (
+	pathInText  = regexp.MustCompile(`\b[a-z_]+\[\d+\](?:\.[a-z_]+(?:\[\d+\])?)*`)
+	itemPath    = regexp.MustCompile(`^(\w+)\[(\d+)\](?:\.(\w+))?`)
+	versionPath = regexp.MustCompile(`^models\[(\d+)\]\.versions\[(\d+)\](?:\.(\w+))?`)
+)
+
+// locate finds the item that a field path such as cascades[0].steps[1] is
+// part of.
+func locate(doc *Document, fieldErr FieldError) Fault {
+	fault := Fault{Problem: fieldErr.Problem, Remedy: fieldErr.Remedy}
+	if match := versionPath.FindStringSubmatch(fieldErr.Field); match != nil {
+		fault.Section, fault.Key = SectionVersions, match[3]
+		fault.Name = versionName(doc, number(match[1]), number(match[2]))
+		return fault
+	}
+	match := itemPath.FindStringSubmatch(fieldErr.Field)
+	if match == nil {
+		if section := Section(fieldErr.Field); Items(doc, section) != nil {
+			fault.Section = section
+		}
+		return fault
+	}
+	fault.Section, fault.Key = Section(match[1]), match[3]
+	if items := Items(doc, fault.Section); number(match[2]) < len(items) {
+		fault.Name = items[number(match[2])].Name
+	}
+	return fault
+}
+
+func number(digits string) int {
+	n, err := strconv.Atoi(digits)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func versionName(doc *Document, model, version int) string {
+	if model >= len(doc.Models) || version >= len(doc.Models[model].Versions) {
+		return ""
+	}
+	return doc.Models[model].Versions[version].ID
+}
--- a/internal/protocol/document/validate.go
+++ b/internal/protocol/document/validate.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"strings"
@@ -9,6 +10,7 @@
 // Bounds of the numbers in a document.
 const (
 	maxNameBytes       = 64
+	maxPathBytes       = 1024
 	maxTimeoutMillis   = 10 * 60 * 1000
 	maxInFlightLimit   = 1_000_000
 	maxPriority        = 100
@@ -231,7 +233,7 @@
 }
 
 func (v *validator) checkKeyHash(field, hash, account string, owners map[string]string) {
-	if _, err := hex.DecodeString(hash); err != nil || len(hash) != sha256HexBytes || hash != strings.ToLower(hash) {
+	if !IsKeyHash(hash) {
 		v.fail(field, "is no hex SHA-256 hash in lower case", "make one with medlarslip-config hash-key")
 		return
 	}
@@ -242,6 +244,18 @@
 	owners[hash] = account
 }
 
+// IsKeyHash reports whether s is a SHA-256 hash in lower-case hex.
+func IsKeyHash(s string) bool {
+	_, err := hex.DecodeString(s)
+	return err == nil && len(s) == sha256HexBytes && s == strings.ToLower(s)
+}
+
+// HashKey returns the hash under which an API key is kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 func (v *validator) checkServices() {
 	serviceNames := v.newNames()
 	for i, service := range v.doc.PlainServices {
@@ -251,21 +265,34 @@
 		if v.index.Model(service.Name) != nil {
 			v.fail(field+".name", fmt.Sprintf("%q is also a model", service.Name), "rename the service")
 		}
-		if service.StatusPath != "" && (!strings.HasPrefix(service.StatusPath, "/") || !strings.Contains(service.StatusPath, "{key}")) {
-			v.fail(field+".status_path", fmt.Sprintf("is %q", service.StatusPath), "start it with / and put {key} where the idempotency key goes")
+		if service.StatusPath != "" && (!isPath(service.StatusPath) || !strings.Contains(service.StatusPath, "{key}")) {
+			v.fail(field+".status_path", fmt.Sprintf("is %q", service.StatusPath), "start it with /, use printable ASCII characters without spaces, and put {key} where the idempotency key goes")
 		}
 		for j, call := range service.NonIdempotent {
 			callField := fmt.Sprintf("%s.non_idempotent[%d]", field, j)
-			if call.Method == "" || call.Method != strings.ToUpper(call.Method) {
+			if !isMethod(call.Method) {
 				v.fail(callField+".method", fmt.Sprintf("is %q", call.Method), "use an HTTP method in capitals")
 			}
-			if !strings.HasPrefix(call.PathPrefix, "/") {
-				v.fail(callField+".path_prefix", fmt.Sprintf("is %q", call.PathPrefix), "start it with /")
+			if !isPath(call.PathPrefix) {
+				v.fail(callField+".path_prefix", fmt.Sprintf("is %q", call.PathPrefix), "start it with / and use printable ASCII characters without spaces")
 			}
 		}
 	}
 }
 
+// isMethod reports whether s is an HTTP method in capitals.
+func isMethod(s string) bool {
+	notLetter := func(r rune) bool { return r < 'A' || r > 'Z' }
+	return s != "" && len(s) <= maxNameBytes && !strings.ContainsFunc(s, notLetter)
+}
+
+// isPath reports whether s is a path of printable ASCII characters, so that
+// an operator sees all of what is signed.
+func isPath(s string) bool {
+	notVisible := func(r rune) bool { return r <= ' ' || r > '~' }
+	return strings.HasPrefix(s, "/") && len(s) <= maxPathBytes && !strings.ContainsFunc(s, notVisible)
+}
+
 func (v *validator) checkDomains() {
 	domainNames := v.newNames()
 	allOut := len(v.doc.FailureDomains) > 0
--- /dev/null
+++ b/internal/transport/console/fleet.go
@@ -0,0 +1,212 @@
+package console
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/protocol/settings"
+	"medlarslip/internal/transport/adminapi"
+)
+
+const (
+	pollPeriod   = 2 * time.Second
+	quietPeriod  = 30 * time.Second // period while nobody looks
+	watchedFor   = time.Minute      // after a page was shown
+	pollTimeout  = 2 * time.Second
+	pollParallel = 16
+)
+
+// InstanceList is the platform's instance list.
+type InstanceList interface {
+	Instances(ctx context.Context) (*platform.InstanceList, error)
+}
+
+// StatusReader reads the status page of an entry instance.
+type StatusReader interface {
+	Status(ctx context.Context, address string) (*adminapi.Status, error)
+}
+
+// entryView is what is known of one entry instance.
+type entryView struct {
+	ID            string
+	FailureDomain string
+	// Listed is the state in the instance list.
+	Listed  platform.InstanceState
+	address string
+	// Status is the last answer; zero before the first.
+	Status adminapi.Status
+	// Seen is when Status was read; zero for never.
+	Seen time.Time
+	// Reachable says whether the last read got an answer.
+	Reachable bool
+}
+
+// fleetView is what is known of the fleet.
+type fleetView struct {
+	Entries []entryView
+	Servers []platform.Instance
+	// ListAt is when the instance list was read; zero for never.
+	ListAt time.Time
+	// ListDown says that the last read of the list failed.
+	ListDown bool
+}
+
+// aliveServers returns the backend servers that take new work, or nil where
+// the instance list was never read.
+func (v *fleetView) aliveServers() []document.Server {
+	if v.ListAt.IsZero() {
+		return nil
+	}
+	servers := []document.Server{}
+	for _, server := range v.Servers {
+		if server.State == platform.InstanceLive {
+			servers = append(servers, document.Server{FailureDomain: server.FailureDomain, Serves: server.Serves})
+		}
+	}
+	return servers
+}
+
+// fleet polls the instance list and the status of every entry instance.
+type fleet struct {
+	list      InstanceList
+	status    StatusReader
+	addresses settings.ConsoleFleet
+	now       func() time.Time
+	// watched wakes the poll loop when a page is shown.
+	watched chan struct{}
+
+	mu       sync.Mutex
+	view     fleetView
+	lastLook time.Time
+}
+
+func newFleet(opts *Options) *fleet {
+	return &fleet{list: opts.Instances, status: opts.Status, addresses: opts.Fleet, now: opts.Now, watched: make(chan struct{}, 1)}
+}
+
+// run polls until ctx ends, often while pages are looked at.
+func (f *fleet) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.poll(ctx)
+		timer := time.NewTimer(f.period())
+		select {
+		case <-timer.C:
+		case <-f.watched:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+func (f *fleet) period() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now().Sub(f.lastLook) < watchedFor {
+		return pollPeriod
+	}
+	return quietPeriod
+}
+
+// look returns a copy of what is known and keeps the polls frequent.
+func (f *fleet) look() fleetView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now().Sub(f.lastLook) >= watchedFor {
+		select {
+		case f.watched <- struct{}{}:
+		default:
+		}
+	}
+	f.lastLook = f.now()
+	view := f.view
+	view.Entries = slices.Clone(f.view.Entries)
+	return view
+}
+
+// poll reads the list and every status once.
+func (f *fleet) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	list, err := f.list.Instances(ctx)
+	f.mu.Lock()
+	f.view.ListDown = err != nil
+	if err == nil {
+		f.takeListLocked(list)
+	}
+	entries := slices.Clone(f.view.Entries)
+	f.mu.Unlock()
+	f.readStatuses(ctx, entries)
+	f.mu.Lock()
+	f.view.Entries = entries
+	f.mu.Unlock()
+}
+
+func (f *fleet) takeListLocked(list *platform.InstanceList) {
+	var entries []entryView
+	f.view.Servers = nil
+	for _, instance := range list.Instances {
+		if instance.Role == platform.RoleEntry {
+			entries = append(entries, f.entryLocked(instance))
+			continue
+		}
+		f.view.Servers = append(f.view.Servers, instance)
+	}
+	slices.SortFunc(entries, func(a, b entryView) int { return strings.Compare(a.ID, b.ID) })
+	f.view.Entries = entries
+	f.view.ListAt = f.now()
+}
+
+// entryLocked returns the entry of an instance with what was known before.
+func (f *fleet) entryLocked(instance platform.Instance) entryView {
+	entry := entryView{ID: instance.ID}
+	for _, known := range f.view.Entries {
+		if known.ID == instance.ID {
+			entry = known
+		}
+	}
+	entry.FailureDomain, entry.Listed = instance.FailureDomain, instance.State
+	entry.address = f.metricsAddress(instance)
+	return entry
+}
+
+func (f *fleet) metricsAddress(instance platform.Instance) string {
+	for _, metrics := range f.addresses.MetricsAddresses {
+		if metrics.Instance == instance.ID {
+			return metrics.Address
+		}
+	}
+	host, _, err := net.SplitHostPort(instance.Address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(f.addresses.MetricsPort))
+}
+
+func (f *fleet) readStatuses(ctx context.Context, entries []entryView) {
+	var group errgroup.Group
+	group.SetLimit(pollParallel)
+	for i := range entries {
+		group.Go(func() error {
+			entry := &entries[i]
+			status, err := f.status.Status(ctx, entry.address)
+			// An answer of another instance at the same address is none.
+			entry.Reachable = err == nil && status.Instance == entry.ID
+			if entry.Reachable {
+				entry.Status, entry.Seen = *status, f.now()
+			}
+			return nil
+		})
+	}
+	// No function of the group returns an error.
+	_ = group.Wait()
+}
--- /dev/null
+++ b/internal/transport/console/form.go
@@ -0,0 +1,255 @@
+package console
+
+import (
+	"fmt"
+	"math"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"github.com/ansel1/merry/v2"
+
+	"medlarslip/internal/protocol/document"
+)
+
+// Bounds of a form.
+const (
+	maxFormBytes  = 256 << 10
+	maxFormValues = 4000
+	maxReason     = 500 // characters
+	minKeyBytes   = 16  // length of an API key that is entered
+)
+
+// errBadForm is the kind of error of a form that cannot be read.
+var errBadForm = merry.Sentinel("the form could not be read; go back, load the page again and repeat the step")
+
+// inputKind says how a field is entered.
+type inputKind string
+
+const (
+	inputText    inputKind = "text"
+	inputNumber  inputKind = "number"
+	inputDecimal inputKind = "decimal"
+	inputSelect  inputKind = "select"
+	inputChecks  inputKind = "checks"
+	inputOrder   inputKind = "order"
+	inputLines   inputKind = "lines"
+	inputSecret  inputKind = "secret"
+	inputFixed   inputKind = "fixed"
+)
+
+// option is one choice of a field.
+type option struct {
+	Value    string
+	Label    string
+	Selected bool
+}
+
+// field is one field of a form.
+type field struct {
+	Key    string
+	Label  string
+	Hint   string
+	Unit   string
+	Kind   inputKind
+	Values []string
+	// Options are the choices of a select, checks or order field.
+	Options []option
+	// Slots are the selects of an order field, each with its options.
+	Slots  [][]option
+	Faults []string
+}
+
+// Value returns the only value of the field.
+func (f field) Value() string {
+	if len(f.Values) == 0 {
+		return ""
+	}
+	return f.Values[0]
+}
+
+// ID returns the HTML id of the field.
+func (f field) ID() string { return "field-" + f.Key }
+
+// Anchor returns the HTML id of the block around the field.
+func (f field) Anchor() string { return "block-" + f.Key }
+
+// mark selects the options that the values name.
+func (f *field) mark() {
+	switch f.Kind {
+	case inputOrder:
+		f.markSlots()
+	case inputSelect, inputChecks:
+		for i := range f.Options {
+			f.Options[i].Selected = contains(f.Values, f.Options[i].Value)
+		}
+	}
+}
+
+func (f *field) markSlots() {
+	f.Slots = nil
+	for slot := range max(len(f.Options), len(f.Values)) {
+		choices := []option{{Value: "", Label: "none"}}
+		for _, choice := range f.Options {
+			choice.Selected = slot < len(f.Values) && f.Values[slot] == choice.Value
+			choices = append(choices, choice)
+		}
+		f.Slots = append(f.Slots, choices)
+	}
+}
+
+func contains(values []string, value string) bool {
+	for _, v := range values {
+		if v == value {
+			return true
+		}
+	}
+	return false
+}
+
+func options(values []string) []option {
+	choices := make([]option, 0, len(values))
+	for _, value := range values {
+		choices = append(choices, option{Value: value, Label: value})
+	}
+	return choices
+}
+
+// decodeForm reads the body of a form. The error is of the kind errBadForm.
+func decodeForm(body []byte) (url.Values, error) {
+	if len(body) > maxFormBytes {
+		return nil, merry.Prependf(errBadForm, "it has %d bytes", len(body))
+	}
+	form, err := url.ParseQuery(string(body))
+	if err != nil {
+		return nil, merry.Prepend(errBadForm, err.Error())
+	}
+	count := 0
+	for _, values := range form {
+		count += len(values)
+	}
+	if count > maxFormValues {
+		return nil, merry.Prependf(errBadForm, "it has %d values", count)
+	}
+	return form, nil
+}
+
+// values reads the values of a form and collects what is wrong with them, by
+// the key of the field.
+type values struct {
+	form   url.Values
+	faults map[string][]string
+}
+
+func newValues(form url.Values) *values {
+	return &values{form: form, faults: map[string][]string{}}
+}
+
+func (v *values) fail(key, problem, remedy string) {
+	v.faults[key] = append(v.faults[key], problem+"; "+remedy)
+}
+
+func (v *values) text(key string) string { return strings.TrimSpace(v.form.Get(key)) }
+
+func (v *values) whole(key string) int64 {
+	text := v.text(key)
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n > math.MaxInt32 && key != keyPrice {
+		v.fail(key, fmt.Sprintf("%q is no whole number in range", clip(text)), "write digits only, such as 250")
+		return 0
+	}
+	return n
+}
+
+var decimalPattern = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,9})?$`)
+
+func (v *values) decimal(key string) float64 {
+	text := v.text(key)
+	if !decimalPattern.MatchString(text) {
+		v.fail(key, fmt.Sprintf("%q is no decimal number", clip(text)), "write it with a point, such as 0.85")
+		return 0
+	}
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		v.fail(key, "is out of range", "write a number from 0 to 1")
+	}
+	return f
+}
+
+// all returns the values that are not empty.
+func (v *values) all(key string) []string {
+	var found []string
+	for _, value := range v.form[key] {
+		if value = strings.TrimSpace(value); value != "" {
+			found = append(found, value)
+		}
+	}
+	return found
+}
+
+// lines returns the lines of a text field that are not empty.
+func (v *values) lines(key string) []string {
+	var found []string
+	for line := range strings.Lines(v.form.Get(key)) {
+		if line = strings.TrimSpace(line); line != "" {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// secretHash takes an API key out of the form and returns its hash, or empty
+// where none was entered. The key itself is not kept.
+func (v *values) secretHash(key string) string {
+	secret := v.text(key)
+	v.form.Del(key)
+	if secret == "" {
+		return ""
+	}
+	if len(secret) < minKeyBytes {
+		v.fail(key, "the key is shorter than "+strconv.Itoa(minKeyBytes)+" characters", "enter a longer, random one")
+		return ""
+	}
+	return document.HashKey(secret)
+}
+
+const maxClip = 40
+
+// clip shortens a text for a message.
+func clip(text string) string {
+	if len(text) <= maxClip {
+		return text
+	}
+	return text[:maxClip] + "..."
+}
+
+// checkReason returns what is wrong with the reason of a change, or empty.
+func checkReason(reason string) string {
+	if reason == "" {
+		return "the reason is empty; say why the change is made, since it stands in the audit trail under your name"
+	}
+	if len([]rune(reason)) > maxReason {
+		return fmt.Sprintf("the reason is longer than %d characters; shorten it", maxReason)
+	}
+	if strings.ContainsFunc(reason, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return "the reason holds a line break or an invisible character; write it in one line of plain text"
+	}
+	return ""
+}
+
+// overlay puts the submitted values and their faults into the fields.
+func overlay(fields []field, v *values) {
+	for i := range fields {
+		f := &fields[i]
+		f.Faults = v.faults[f.Key]
+		if f.Kind != inputFixed && f.Kind != inputSecret {
+			f.Values = v.form[f.Key]
+		}
+		f.mark()
+	}
+}
+
+// Ordinal names one place of an order field.
+func (f field) Ordinal(place int) string { return "Place " + strconv.Itoa(place+1) }
--- /dev/null
+++ b/internal/transport/console/history.go
@@ -0,0 +1,150 @@
+package console
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/protocol/records"
+	"medlarslip/internal/protocol/signed"
+)
+
+const maxTrail = 500 // entries kept of each stream
+
+// documentEntry is one published document in the audit trail.
+type documentEntry struct {
+	Number   int64
+	Operator string
+	Reason   string
+	SignedAt time.Time
+	Hash     string
+	// Verdict says in plain words what became of the document.
+	Verdict  string
+	Accepted bool
+	// Changes is nil for a document that was not accepted.
+	Changes *document.Changes
+}
+
+// history reads the audit trail from the configuration stream and the audit
+// stream when it is asked for, and keeps the newest entries.
+type history struct {
+	log  eventlog.Log
+	keys signed.OperatorKeys
+	now  func() time.Time
+
+	mu            sync.Mutex
+	store         *configuration.Store
+	verdicts      bool // whether verdicts are certain at this point
+	nextDocument  int64
+	documents     []documentEntry
+	nextAutomatic int64
+	automatic     []records.Audit
+	readAt        time.Time
+}
+
+func newHistory(log eventlog.Log, keys signed.OperatorKeys, now func() time.Time) *history {
+	return &history{log: log, keys: keys, now: now, store: configuration.NewStore(keys), verdicts: true}
+}
+
+// trail is what the audit page shows, newest first.
+type trail struct {
+	Documents []documentEntry
+	Automatic []records.Audit
+	// ReadAt is when both streams were last read to their ends.
+	ReadAt time.Time
+	// Err is why the last read failed, or nil.
+	Err error
+}
+
+// read brings the trail up to date as far as the log service answers.
+func (h *history) read(ctx context.Context) trail {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	err := h.readLocked(ctx)
+	if err == nil {
+		h.readAt = h.now()
+	}
+	result := trail{Documents: slices.Clone(h.documents), Automatic: slices.Clone(h.automatic), ReadAt: h.readAt, Err: err}
+	slices.Reverse(result.Documents)
+	slices.Reverse(result.Automatic)
+	return result
+}
+
+func (h *history) readLocked(ctx context.Context) error {
+	next, gap, err := readAll(ctx, h.log, platform.StreamConfiguration, h.nextDocument, h.addDocument)
+	h.nextDocument = next
+	h.verdicts = h.verdicts && !gap
+	if err != nil {
+		return err
+	}
+	h.nextAutomatic, _, err = readAll(ctx, h.log, platform.StreamAudit, h.nextAutomatic, h.addAutomatic)
+	return err
+}
+
+func (h *history) addAutomatic(_ int64, raw json.RawMessage) {
+	var record records.Audit
+	if json.Unmarshal(raw, &record) != nil {
+		return
+	}
+	repeated := slices.ContainsFunc(h.automatic, func(a records.Audit) bool { return a.Writer == record.Writer })
+	if !repeated {
+		h.automatic = keepNewest(append(h.automatic, record))
+	}
+}
+
+func (h *history) addDocument(offset int64, raw json.RawMessage) {
+	var record records.Configuration
+	if json.Unmarshal(raw, &record) != nil {
+		h.documents = keepNewest(append(h.documents, documentEntry{Verdict: "not accepted: the record is unreadable"}))
+		return
+	}
+	if offset > 0 && h.nextDocument == 0 && len(h.documents) == 0 {
+		h.verdicts = false
+	}
+	hash := record.Envelope.Hash()
+	repeated := slices.ContainsFunc(h.documents, func(e documentEntry) bool { return e.Hash == hash })
+	before := h.store.Current()
+	err := h.store.Apply(&record)
+	if repeated {
+		return
+	}
+	entry := documentEntry{
+		Number:   record.Envelope.Number,
+		Operator: record.Envelope.Operator,
+		Reason:   record.Envelope.Reason,
+		SignedAt: record.Envelope.SignedAt,
+		Hash:     hash,
+	}
+	h.judge(&entry, before, err)
+	h.documents = keepNewest(append(h.documents, entry))
+}
+
+// judge fills in what became of a document. After records were lost to
+// retention, verdicts are certain again from the next accepted document on.
+func (h *history) judge(entry *documentEntry, before *configuration.InForce, err error) {
+	switch {
+	case err == nil:
+		entry.Accepted, entry.Verdict = true, "accepted"
+		if before != nil || h.verdicts {
+			entry.Changes = document.Compare(baseDocument(before), h.store.Current().Index.Document(), nil)
+		}
+		h.verdicts = true
+	case !h.verdicts:
+		entry.Verdict = "not known: the records before it are no longer kept"
+	default:
+		entry.Verdict = "not accepted: " + err.Error()
+	}
+}
+
+func keepNewest[T any](entries []T) []T {
+	if len(entries) <= maxTrail {
+		return entries
+	}
+	return slices.Clone(entries[len(entries)-maxTrail:])
+}
--- /dev/null
+++ b/internal/transport/console/overview.go
@@ -0,0 +1,135 @@
+package console
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/protocol/platform"
+)
+
+// fleetRow is one entry instance on a page.
+type fleetRow struct {
+	ID, FailureDomain string
+	// State says whether the instance stays.
+	State string
+	// Document is the number in force there; 0 for none or not known.
+	Document int64
+	// Result says in plain words how that compares.
+	Result string
+	Good   bool
+	Age    string
+}
+
+// fleetBody is the state of the fleet on a page.
+type fleetBody struct {
+	Rows []fleetRow
+	// InForce counts the instances that have the document in force.
+	InForce     int
+	Unreachable int
+	Servers     []serverRow
+	ListAge     string
+	ListDown    bool
+}
+
+// serverRow sums up the backend servers of one failure domain.
+type serverRow struct {
+	FailureDomain string
+	Out           bool
+	Summary       string
+}
+
+// fleetBody compares what the instances have in force with a document.
+func (s *Server) fleetBody(document *configuration.InForce) fleetBody {
+	view := s.fleet.look()
+	body := fleetBody{ListAge: age(s.opts.Now(), view.ListAt), ListDown: view.ListDown}
+	for i := range view.Entries {
+		row := s.fleetRow(&view.Entries[i], document)
+		if row.Good {
+			body.InForce++
+		}
+		if !view.Entries[i].Reachable {
+			body.Unreachable++
+		}
+		body.Rows = append(body.Rows, row)
+	}
+	for _, domain := range baseDocument(s.follower.current()).FailureDomains {
+		body.Servers = append(body.Servers, serverRow{FailureDomain: domain.Name, Out: domain.Out, Summary: serversIn(&view, domain.Name)})
+	}
+	return body
+}
+
+func (s *Server) fleetRow(entry *entryView, wanted *configuration.InForce) fleetRow {
+	row := fleetRow{ID: entry.ID, FailureDomain: entry.FailureDomain, State: string(entry.Listed), Document: entry.Status.Configuration}
+	row.Age = age(s.opts.Now(), entry.Seen)
+	if entry.Status.Leaving {
+		row.State = string(platform.InstanceLeaving)
+	}
+	hasIt := wanted != nil && (entry.Status.Hash == hashOf(wanted) || entry.Status.Configuration > numberOf(wanted))
+	switch {
+	case !entry.Reachable && entry.Seen.IsZero():
+		row.Result = "can't be reached"
+	case !entry.Reachable:
+		row.Result = fmt.Sprintf("can't be reached; document %d when last seen", row.Document)
+	case hasIt:
+		row.Result, row.Good = "in force", true
+	case row.Document == 0:
+		row.Result = "has no document yet"
+	default:
+		row.Result = "not yet in force"
+	}
+	return row
+}
+
+// serversIn sums up the backend servers of a failure domain in plain words.
+func serversIn(view *fleetView, domain string) string {
+	if view.ListAt.IsZero() {
+		return "backend servers not known"
+	}
+	live, leaving := 0, 0
+	for _, server := range view.Servers {
+		switch {
+		case server.FailureDomain != domain:
+		case server.State == platform.InstanceLive:
+			live++
+		default:
+			leaving++
+		}
+	}
+	words := []string{fmt.Sprintf("%d live backend servers", live)}
+	if live == 1 {
+		words[0] = "1 live backend server"
+	}
+	if leaving > 0 {
+		words = append(words, fmt.Sprintf("%d leaving", leaving))
+	}
+	return strings.Join(words, ", ")
+}
+
+// frontBody is what the front page shows.
+type frontBody struct {
+	Current *configuration.InForce
+	// Known is false until the log service was read once.
+	Known bool
+	Fleet fleetBody
+}
+
+func (s *Server) showFront(r *request) {
+	current := s.follower.current()
+	body := frontBody{Current: current, Known: s.follower.known(), Fleet: s.fleetBody(current)}
+	s.render(r, "front", "Overview", body)
+}
+
+// auditBody is what the audit trail shows.
+type auditBody struct {
+	Trail trail
+	Age   string
+}
+
+func (s *Server) showAudit(r *request) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	read := s.history.read(ctx)
+	s.render(r, "audit", "Audit trail", auditBody{Trail: read, Age: age(s.opts.Now(), read.ReadAt)})
+}
--- /dev/null
+++ b/internal/transport/console/pages.go
@@ -0,0 +1,125 @@
+package console
+
+import (
+	"bytes"
+	"embed"
+	"fmt"
+	"html/template"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+//go:embed templates/*.html
+var templateFiles embed.FS
+
+//go:embed templates/style.css
+var styleSheet []byte
+
+// pageNames are the templates that fill the layout.
+var pageNames = []string{"front", "section", "item", "remove", "switches", "draft", "nodraft", "published", "audit", "message"}
+
+var pageTemplates = parsePages()
+
+func parsePages() map[string]*template.Template {
+	functions := template.FuncMap{"clock": clock, "capital": capitalised}
+	layout := template.Must(template.New("layout.html").Funcs(functions).ParseFS(templateFiles, "templates/layout.html", "templates/parts.html"))
+	pages := map[string]*template.Template{}
+	for _, name := range pageNames {
+		page := template.Must(layout.Clone())
+		pages[name] = template.Must(page.ParseFS(templateFiles, "templates/"+name+".html"))
+	}
+	return pages
+}
+
+// page is what the layout shows around the body.
+type page struct {
+	Root     string
+	Title    string
+	Operator string
+	// SignedIn is false on pages without a session.
+	SignedIn bool
+	CSRF     string
+	Flash    string
+	Sections []*section
+	// Draft counts the changes in the draft.
+	Draft int
+	// Outrun says that another document came into force since.
+	Outrun bool
+	// LogDown says that the log service does not answer; ReadAge is the age
+	// of what was last read.
+	LogDown bool
+	ReadAge string
+	Name    string
+	Body    any
+}
+
+func (s *Server) render(r *request, name, title string, body any) {
+	p := page{
+		Root: s.root, Title: title, Operator: s.opts.Operator, SignedIn: true, CSRF: r.session.csrf,
+		Flash: r.session.flash, Sections: sections(), Name: name, Body: body,
+	}
+	r.session.flash = ""
+	if d := r.session.draft; d != nil {
+		p.Draft, p.Outrun = len(d.changes(nil).Items), d.outrun(s.follower.current())
+	}
+	read := s.follower.observed.reading()
+	p.LogDown, p.ReadAge = read.Down, age(s.opts.Now(), read.AtEnd)
+	s.write(r.ctx, name, &p)
+}
+
+// messageBody is a page with one message.
+type messageBody struct {
+	Remedy string
+}
+
+// refuse answers with a page that says what is wrong and what to do.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int, title, remedy string) {
+	ctx.SetStatusCode(status)
+	p := &page{Title: title, Name: "message", Body: messageBody{Remedy: remedy}}
+	// The random path is not told to anyone who does not know it already.
+	if strings.HasPrefix(string(ctx.Path()), s.root+"/") {
+		p.Root = s.root
+	}
+	s.write(ctx, "message", p)
+}
+
+func (s *Server) write(ctx *fasthttp.RequestCtx, name string, p *page) {
+	var out bytes.Buffer
+	if err := pageTemplates[name].Execute(&out, p); err != nil {
+		logrus.WithError(err).WithField("page", name).Error("page can't be shown")
+		ctx.Error("the page can't be shown; report this fault", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("text/html; charset=utf-8")
+	ctx.SetBody(out.Bytes())
+}
+
+// age says in plain words how old a figure is.
+func age(now, then time.Time) string {
+	if then.IsZero() {
+		return "never"
+	}
+	elapsed := now.Sub(then)
+	switch {
+	case elapsed < time.Second:
+		return "just now"
+	case elapsed < 2*time.Minute:
+		return fmt.Sprintf("%d s ago", int(elapsed.Seconds()))
+	case elapsed < 2*time.Hour:
+		return fmt.Sprintf("%d min ago", int(elapsed.Minutes()))
+	}
+	return fmt.Sprintf("%d h ago", int(elapsed.Hours()))
+}
+
+// clock writes a point in time for people.
+func clock(t time.Time) string { return t.UTC().Format("2 January 2006, 15:04:05 UTC") }
+
+func capitalised(s string) string {
+	if s == "" {
+		return s
+	}
+	return strings.ToUpper(s[:1]) + s[1:]
+}
--- /dev/null
+++ b/internal/transport/console/quick.go
@@ -0,0 +1,112 @@
+package console
+
+import (
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/protocol/document"
+)
+
+// switchRow is one item that can be switched off and on.
+type switchRow struct {
+	Name string
+	Note string
+	Off  bool
+}
+
+// switchBody is what a page shows that switches many items at once.
+type switchBody struct {
+	Action   string
+	Intro    string
+	Question string
+	OnLabel  string
+	OffLabel string
+	Rows     []switchRow
+	Faults   []string
+}
+
+func (s *Server) showDomains(r *request) {
+	s.render(r, "switches", domainsTitle, s.domainsBody(s.document(r.session)))
+}
+
+const (
+	domainsTitle     = "Take failure domains out or bring them back"
+	withdrawalsTitle = "Withdraw versions or bring them back"
+)
+
+func (s *Server) domainsBody(doc *document.Document) switchBody {
+	body := switchBody{
+		Action: "/domains", Question: "Failure domain", OnLabel: "in service", OffLabel: "taken out",
+		Intro: "A failure domain that is taken out receives no new work within a few seconds after the change is in force. Requests that run there are not cut.",
+	}
+	view := s.fleet.look()
+	for _, domain := range doc.FailureDomains {
+		body.Rows = append(body.Rows, switchRow{Name: domain.Name, Off: domain.Out, Note: serversIn(&view, domain.Name)})
+	}
+	return body
+}
+
+func (s *Server) saveDomains(r *request) {
+	s.saveSwitches(r, domainsTitle, s.domainsBody, func(doc *document.Document, off []string) {
+		for i := range doc.FailureDomains {
+			domain := &doc.FailureDomains[i]
+			domain.Out = slices.Contains(off, domain.Name)
+		}
+	})
+}
+
+func (s *Server) showWithdrawals(r *request) {
+	s.render(r, "switches", withdrawalsTitle, withdrawalsBody(s.document(r.session)))
+}
+
+func withdrawalsBody(doc *document.Document) switchBody {
+	body := switchBody{
+		Action: "/withdrawals", Question: "Version", OnLabel: "in service", OffLabel: "withdrawn",
+		Intro: "A version that is withdrawn receives no new work, not even from sessions that keep it. Requests that run on it are not cut.",
+	}
+	for _, model := range doc.Models {
+		for _, version := range model.Versions {
+			body.Rows = append(body.Rows, switchRow{Name: version.ID, Off: version.Withdrawn, Note: "model " + model.Name})
+		}
+	}
+	return body
+}
+
+func (s *Server) saveWithdrawals(r *request) {
+	s.saveSwitches(r, withdrawalsTitle, withdrawalsBody, func(doc *document.Document, off []string) {
+		for i := range doc.Models {
+			for j := range doc.Models[i].Versions {
+				version := &doc.Models[i].Versions[j]
+				version.Withdrawn = slices.Contains(off, version.ID)
+			}
+		}
+	})
+}
+
+// saveSwitches sets which items are off and leads on to the review of the
+// draft.
+func (s *Server) saveSwitches(r *request, title string, body func(*document.Document) switchBody, set func(doc *document.Document, off []string)) {
+	d := s.openDraft(r)
+	if d == nil {
+		return
+	}
+	candidate := document.Clone(d.doc)
+	var off []string
+	for _, row := range body(candidate).Rows {
+		if r.form.Get("state-"+row.Name) == valueNo {
+			off = append(off, row.Name)
+		}
+	}
+	set(candidate, off)
+	if faults := newFaults(d.doc, candidate); len(faults) > 0 {
+		r.ctx.SetStatusCode(fasthttp.StatusUnprocessableEntity)
+		shown := body(candidate)
+		shown.Faults = faultTexts(faults)
+		s.render(r, "switches", title, shown)
+		return
+	}
+	d.replace(candidate)
+	keepDraft(r.session, d)
+	s.redirect(r.ctx, "/draft")
+}
--- /dev/null
+++ b/internal/transport/console/sections.go
@@ -0,0 +1,151 @@
+package console
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"medlarslip/internal/protocol/document"
+)
+
+// section says how the items of one list of the document are entered.
+type section struct {
+	ID    document.Section
+	Title string
+	Intro string
+	// fields returns the fields of the named item, or of a new one where the
+	// name is empty.
+	fields func(doc *document.Document, name string) []field
+	// write changes the named item, or adds a new one where the name is
+	// empty, and returns the name of the item.
+	write func(doc *document.Document, name string, v *values) string
+	// remove takes the named item away.
+	remove func(doc *document.Document, name string)
+}
+
+// listSection describes a list whose items have a name.
+type listSection[T any] struct {
+	items func(*document.Document) *[]T
+	// name returns where an item keeps its name.
+	name func(*T) *string
+	// nameField is the field in which a new item is named.
+	nameField func(*document.Document) field
+	fields    func(*document.Document, *T, bool) []field
+	read      func(*document.Document, *T, *values, bool)
+	blank     T
+}
+
+func (l listSection[T]) find(doc *document.Document, name string) *T {
+	items := *l.items(doc)
+	for i := range items {
+		if *l.name(&items[i]) == name {
+			return &items[i]
+		}
+	}
+	return nil
+}
+
+func (l listSection[T]) allFields(doc *document.Document, name string) []field {
+	item, isNew := l.find(doc, name), name == ""
+	if item == nil {
+		blank := l.blank
+		item = &blank
+	}
+	nameField := l.nameField(doc)
+	if !isNew {
+		nameField = field{Key: nameField.Key, Label: nameField.Label, Kind: inputFixed, Values: []string{name}}
+	}
+	return append([]field{nameField}, l.fields(doc, item, isNew)...)
+}
+
+func (l listSection[T]) write(doc *document.Document, name string, v *values) string {
+	if name != "" {
+		if item := l.find(doc, name); item != nil {
+			l.read(doc, item, v, false)
+		}
+		return name
+	}
+	item := l.blank
+	*l.name(&item) = v.text(l.nameField(doc).Key)
+	l.read(doc, &item, v, true)
+	items := l.items(doc)
+	*items = append(*items, item)
+	return *l.name(&item)
+}
+
+func (l listSection[T]) remove(doc *document.Document, name string) {
+	items := l.items(doc)
+	*items = slices.DeleteFunc(*items, func(item T) bool { return *l.name(&item) == name })
+}
+
+func (l listSection[T]) section(id document.Section, title, intro string) *section {
+	return &section{ID: id, Title: title, Intro: intro, fields: l.allFields, write: l.write, remove: l.remove}
+}
+
+const nameHint = "1 to 64 letters, digits, dots, dashes or underscores. It cannot be changed later."
+
+func nameField(*document.Document) field {
+	return field{Key: "name", Label: "Name", Hint: nameHint, Kind: inputText}
+}
+
+func idField(*document.Document) field {
+	return field{Key: "id", Label: "ID", Hint: nameHint, Kind: inputText}
+}
+
+// sections returns the forms of all lists in the order of the menu.
+func sections() []*section {
+	return []*section{
+		domainSection(), versionSection(), modelSection(), rolloutSection(), cascadeSection(),
+		accountSection(), kindSection(), serviceSection(), coldSection(),
+	}
+}
+
+func findSection(id string) *section {
+	for _, s := range sections() {
+		if string(s.ID) == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// formFields returns the fields of an item with their choices marked.
+func (s *section) formFields(doc *document.Document, name string) []field {
+	fields := s.fields(doc, name)
+	for i := range fields {
+		fields[i].mark()
+	}
+	return fields
+}
+
+// fieldOf returns the key of the field that a fault belongs to, or empty
+// where it concerns another item.
+func (s *section) fieldOf(fault document.Fault, item string, v *values) string {
+	if fault.Section == s.ID && fault.Name == item {
+		return fault.Key
+	}
+	// A new model is entered together with its first version.
+	ofFirst := s.ID == document.SectionModels && fault.Section == document.SectionVersions && fault.Name == v.text(keyFirstVersion)
+	if ofFirst && fault.Key == "id" {
+		return keyFirstVersion
+	}
+	if ofFirst {
+		return fault.Key
+	}
+	return ""
+}
+
+func names(doc *document.Document, id document.Section) []string {
+	items := document.Items(doc, id)
+	found := make([]string, 0, len(items))
+	for _, item := range items {
+		found = append(found, item.Name)
+	}
+	return found
+}
+
+func number(n int64) []string { return []string{strconv.FormatInt(n, 10)} }
+
+func decimal(f float64) []string { return []string{strconv.FormatFloat(f, 'f', -1, 64)} }
+
+func text(lines []string) []string { return []string{strings.Join(lines, "\n")} }
--- /dev/null
+++ b/internal/transport/console/sessions.go
@@ -0,0 +1,113 @@
+package console
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/base64"
+	"sync"
+	"time"
+
+	"medlarslip/internal/coordination/configuration"
+)
+
+const (
+	maxSessions  = 16
+	sessionIdle  = 12 * time.Hour
+	secretLength = 32 // bytes of a token
+)
+
+// newSecret returns a random token that fits into a URL.
+func newSecret() string {
+	secret := make([]byte, secretLength)
+	// Read never returns an error, as its documentation says.
+	_, _ = rand.Read(secret)
+	return base64.RawURLEncoding.EncodeToString(secret)
+}
+
+func sameSecret(a, b string) bool {
+	return a != "" && subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+// session is one browser that has signed in. Its lock is held for the whole
+// of a request, so that requests of one browser run one after another.
+type session struct {
+	id   string
+	csrf string
+
+	mu sync.Mutex
+	// draft is nil while nothing is changed.
+	draft *draft
+	// published is what this session published last, or nil.
+	published *configuration.InForce
+	// flash is shown once on the next page.
+	flash string
+}
+
+// sessionStore holds the sessions, bounded in number and in idle time.
+type sessionStore struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	byID     map[string]*session
+	lastUsed map[string]time.Time
+}
+
+func newSessionStore(now func() time.Time) *sessionStore {
+	return &sessionStore{now: now, byID: map[string]*session{}, lastUsed: map[string]time.Time{}}
+}
+
+// add starts a session. Where there are too many, the one that was unused for
+// the longest time ends.
+func (s *sessionStore) add() *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	for len(s.byID) >= maxSessions {
+		s.dropLocked(s.oldestLocked())
+	}
+	added := &session{id: newSecret(), csrf: newSecret()}
+	s.byID[added.id] = added
+	s.lastUsed[added.id] = s.now()
+	return added
+}
+
+// get returns the session of an ID, or nil.
+func (s *sessionStore) get(id string) *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	found := s.byID[id]
+	if found != nil {
+		s.lastUsed[id] = s.now()
+	}
+	return found
+}
+
+func (s *sessionStore) drop(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropLocked(id)
+}
+
+func (s *sessionStore) dropLocked(id string) {
+	delete(s.byID, id)
+	delete(s.lastUsed, id)
+}
+
+func (s *sessionStore) expireLocked() {
+	for id, used := range s.lastUsed {
+		if s.now().Sub(used) > sessionIdle {
+			s.dropLocked(id)
+		}
+	}
+}
+
+func (s *sessionStore) oldestLocked() string {
+	oldest := ""
+	for id, used := range s.lastUsed {
+		if oldest == "" || used.Before(s.lastUsed[oldest]) {
+			oldest = id
+		}
+	}
+	return oldest
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -53,6 +53,10 @@
 bin/medlarslip-config publish -log 127.0.0.1:8001 -operators "anna=$public_key" -operator anna \
   -key run/anna.key -reason "first configuration" -document examples/demo/document.yaml
 
+sed -e "s|PUBLIC-KEY|$public_key|" examples/demo/console.yaml >run/console.yaml
+bin/medlarslip-console -settings run/console.yaml -check
+start console bin/medlarslip-console -settings run/console.yaml
+
 bin/medlarslip-demo -entry 127.0.0.1:8101 -metrics 127.0.0.1:8301,127.0.0.1:8302,127.0.0.1:8303 -key demo-key
 
 if [ "${1:-}" != "-once" ]; then
@@ -60,5 +64,11 @@
   echo "The system stays up; end it with Ctrl-C. Try:"
   echo "  curl -s http://127.0.0.1:8101/v1/entries"
   echo "  curl -s http://127.0.0.1:8101/v1/chat/completions -H 'Authorization: Bearer demo-key' -d '{\"model\":\"draft\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'"
+  echo "The operators' console; the link works once, the next one is in run/console.log:"
+  for _ in $(seq 50); do
+    grep -q "sign in" run/console.log && break
+    sleep 0.1
+  done
+  grep "sign in" run/console.log | sed 's/^/  /'
   wait
 fi
