--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -26,8 +26,9 @@
 	MaxIdle int
 	// MaxBody bounds a whole response body in bytes.
 	MaxBody int
-	// TLS is nil for plain HTTP.
-	TLS *tls.Config
+	// TLS returns the configuration for the server at an IP number; nil means
+	// plain HTTP.
+	TLS func(ip string) *tls.Config
 }
 
 // DefaultOptions returns options that suit calls within a failure domain.
@@ -71,11 +72,12 @@
 	clear(p.idle)
 }
 
-// conn is one connection with its read buffer.
+// conn is one connection with its buffers.
 type conn struct {
 	net.Conn
 	address     string
 	reader      *bufio.Reader
+	writer      *bufio.Writer
 	idleTimeout time.Duration
 	usedBefore  bool
 	idleSince   time.Time
@@ -137,6 +139,7 @@
 	}
 	c := &conn{Conn: nc, address: address, idleTimeout: p.opts.IdleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.writer = bufio.NewWriter(nc)
 	return c, nil
 }
 
@@ -147,6 +150,10 @@
 	if p.opts.TLS == nil {
 		return p.dialer.DialContext(ctx, "tcp", address)
 	}
-	tlsDialer := tls.Dialer{NetDialer: &p.dialer, Config: p.opts.TLS}
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	tlsDialer := tls.Dialer{NetDialer: &p.dialer, Config: p.opts.TLS(ip)}
 	return tlsDialer.DialContext(ctx, "tcp", address)
 }
