Lengthen a measuring window until it holds traffic

TestSmallFleetsAreMeasured failed in 2 of 3 runs of the whole suite: in a window of one second a busy machine had read no engine. The window goes on until both counters have moved, bounded by the patience of the plan; the check stays as it was.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -107,7 +107,16 @@
 	pause(ctx, plan.Settle)
 	first := sample(st)
 	pause(ctx, plan.Window)
-	result.take(first, sample(st))
+	last := sample(st)
+	// A window in which a busy machine did no work at all says nothing.
+	err := await(ctx, plan.Patience, func() bool {
+		last = sample(st)
+		return last.peer > first.peer && last.engine > first.engine
+	})
+	if err != nil {
+		return err
+	}
+	result.take(first, last)
 	return measureUrgent(ctx, result, nodes)
 }
 
