--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -15,6 +15,7 @@
 
 	"medlarslip/internal/protocol/entries"
 	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/localfleet"
 )
 
 // obedientCaller asks the system which entries to use, keeps the answer for
@@ -36,12 +37,12 @@
 }
 
 func (c *obedientCaller) refresh() error {
-	r, err := call(c.entries[c.turn%len(c.entries)], fasthttp.MethodGet, entries.Path, "", "")
+	r, err := localfleet.Call(c.entries[c.turn%len(c.entries)], fasthttp.MethodGet, entries.Path, "", "")
 	if err != nil {
 		return err
 	}
 	var answer entries.Answer
-	if err := json.Unmarshal([]byte(r.body), &answer); err != nil {
+	if err := json.Unmarshal([]byte(r.Body), &answer); err != nil {
 		return err
 	}
 	if len(answer.Entries) == 0 {
@@ -64,51 +65,51 @@
 	const kinds = 3
 	switch kind % kinds {
 	case 0:
-		return checkWhole(call(address, fasthttp.MethodPost, "/v1/chat/completions", chatBody(false), ""))
+		return checkWhole(localfleet.Call(address, fasthttp.MethodPost, "/v1/chat/completions", localfleet.ChatBody(false), ""))
 	case 1:
-		return checkStream(call(address, fasthttp.MethodPost, "/v1/chat/completions", chatBody(true), ""))
+		return checkStream(localfleet.Call(address, fasthttp.MethodPost, "/v1/chat/completions", localfleet.ChatBody(true), ""))
 	default:
-		return checkBooking(call(address, fasthttp.MethodPost, "/v1/services/ledger/bookings", "{}", fmt.Sprintf("k-%d-%d", kind, number)))
+		return checkBooking(localfleet.Call(address, fasthttp.MethodPost, "/v1/services/ledger/bookings", "{}", fmt.Sprintf("k-%d-%d", kind, number)))
 	}
 }
 
-func checkWhole(r *reply, err error) error {
+func checkWhole(r *localfleet.Reply, err error) error {
 	if err != nil {
 		return err
 	}
-	want := strings.Join(engineserver.Tokens(r.version, answerTokens), "")
-	if r.status != fasthttp.StatusOK || !strings.Contains(r.body, want) {
-		return fmt.Errorf("status %d, body %s", r.status, r.body)
+	want := strings.Join(engineserver.Tokens(r.Version, localfleet.AnswerTokens), "")
+	if r.Status != fasthttp.StatusOK || !strings.Contains(r.Body, want) {
+		return fmt.Errorf("status %d, body %s", r.Status, r.Body)
 	}
 	return nil
 }
 
-func checkStream(r *reply, err error) error {
+func checkStream(r *localfleet.Reply, err error) error {
 	if err != nil {
 		return err
 	}
-	last := engineserver.Tokens(r.version, answerTokens)[answerTokens-1]
-	if r.status != fasthttp.StatusOK || !strings.Contains(r.body, last) || !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
-		return fmt.Errorf("status %d, body %s", r.status, r.body)
+	last := engineserver.Tokens(r.Version, localfleet.AnswerTokens)[localfleet.AnswerTokens-1]
+	if r.Status != fasthttp.StatusOK || !strings.Contains(r.Body, last) || !strings.HasSuffix(r.Body, "data: [DONE]\n\n") {
+		return fmt.Errorf("status %d, body %s", r.Status, r.Body)
 	}
 	return nil
 }
 
-func checkBooking(r *reply, err error) error {
+func checkBooking(r *localfleet.Reply, err error) error {
 	if err != nil {
 		return err
 	}
-	if r.status != fasthttp.StatusCreated {
-		return fmt.Errorf("status %d, body %s", r.status, r.body)
+	if r.Status != fasthttp.StatusCreated {
+		return fmt.Errorf("status %d, body %s", r.Status, r.Body)
 	}
 	return nil
 }
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
-	f := newFleet(t)
-	first := f.start("entry-1")
-	f.start("entry-2")
-	defer f.stopAll()
+	f := localfleet.New(t)
+	first := f.Start("entry-1")
+	f.Start("entry-2")
+	defer f.StopAll()
 
 	const callers = 12
 	var wg sync.WaitGroup
@@ -117,7 +118,7 @@
 	failures := make(chan error, callers)
 	for kind := range callers {
 		wg.Go(func() {
-			caller := &obedientCaller{entries: []string{first.callers}}
+			caller := &obedientCaller{entries: []string{first.Callers}}
 			for number := 0; !finished.Load(); number++ {
 				if err := caller.once(kind, number); err != nil {
 					failures <- err
@@ -131,7 +132,7 @@
 	for answered.Load() < callers {
 		time.Sleep(time.Millisecond)
 	}
-	must.NoError(t, f.stop("entry-1"))
+	must.NoError(t, f.Stop("entry-1"))
 	afterStop := answered.Load()
 	for answered.Load() < afterStop+callers && len(failures) == 0 {
 		time.Sleep(time.Millisecond)
@@ -142,26 +143,26 @@
 	for err := range failures {
 		must.NoError(t, err)
 	}
-	_, err := call(first.callers, fasthttp.MethodGet, entries.Path, "", "")
+	_, err := localfleet.Call(first.Callers, fasthttp.MethodGet, entries.Path, "", "")
 	must.Error(t, err)
 }
 
 func TestBookingRunsOnceThroughEveryEntry(t *testing.T) {
-	f := newFleet(t)
-	addresses := []string{f.start("entry-1").callers, f.start("entry-2").callers, f.start("entry-3").callers}
-	defer f.stopAll()
+	f := localfleet.New(t)
+	addresses := []string{f.Start("entry-1").Callers, f.Start("entry-2").Callers, f.Start("entry-3").Callers}
+	defer f.StopAll()
 	const keys = 20
 	var wg sync.WaitGroup
 	for key := range keys {
 		for _, address := range addresses {
 			wg.Go(func() {
-				_, err := call(address, fasthttp.MethodPost, "/v1/services/ledger/bookings", "{}", fmt.Sprintf("key-%d", key))
+				_, err := localfleet.Call(address, fasthttp.MethodPost, "/v1/services/ledger/bookings", "{}", fmt.Sprintf("key-%d", key))
 				must.NoError(t, err)
 			})
 		}
 	}
 	wg.Wait()
 	for key := range keys {
-		must.Eq(t, 1, f.ledger.Count(fmt.Sprintf("key-%d", key)))
+		must.Eq(t, 1, f.Ledger.Count(fmt.Sprintf("key-%d", key)))
 	}
 }
--- a/internal/instance/path_bench_test.go
+++ b/internal/instance/path_bench_test.go
@@ -14,6 +14,7 @@
 
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/localfleet"
 	"medlarslip/internal/standin/loopback"
 )
 
@@ -48,22 +49,22 @@
 // address of each way.
 func benchPaths(b *testing.B) map[string]string {
 	b.Helper()
-	f := newFleetWith(b, nil)
+	f := localfleet.NewWith(b, nil)
 	var addresses []string
 	for range benchEngines {
-		engine := engineserver.New(engineserver.Config{Tokens: answerTokens, MaxRunning: 1000})
+		engine := engineserver.New(engineserver.Config{Tokens: localfleet.AnswerTokens, MaxRunning: 1000})
 		engine.DropCalls()
 		addresses = append(addresses, loopback.Serve(b, engine.Handle))
 	}
 	for i, address := range addresses {
-		f.addBackend("bench-"+string(rune('a'+i)), platform.RoleEngine, address, "small-1", "large-1")
+		f.AddBackend("bench-"+string(rune('a'+i)), platform.RoleEngine, address, "small-1", "large-1")
 	}
-	entry := f.start("entry-1")
-	b.Cleanup(f.stopAll)
+	entry := f.Start("entry-1")
+	b.Cleanup(f.StopAll)
 	return map[string]string{
 		"direct":    addresses[0],
 		"forwarder": loopback.Serve(b, newForwarder(addresses).handle),
-		"router":    entry.callers,
+		"router":    entry.Callers,
 	}
 }
 
@@ -80,7 +81,7 @@
 	c := &benchCaller{client: &fasthttp.HostClient{Addr: address, MaxConns: 1}}
 	c.req.SetRequestURI("http://" + address + "/v1/chat/completions")
 	c.req.Header.SetMethod(fasthttp.MethodPost)
-	c.req.Header.Set("Authorization", "Bearer "+apiKey)
+	c.req.Header.Set("Authorization", "Bearer "+localfleet.APIKey)
 	c.req.Header.Set("X-Request-Id", "bench")
 	c.req.SetBodyString(body)
 	return c
--- a/internal/instance/harness_test.go
+++ b/internal/standin/localfleet/localfleet.go
@@ -1,4 +1,6 @@
-package instance_test
+// Package localfleet runs entry instances, a platform and backend servers in
+// one process for tests.
+package localfleet
 
 import (
 	"context"
@@ -29,15 +31,18 @@
 )
 
 const (
-	apiKey       = "secret"
-	entriesTTL   = 300 * time.Millisecond
-	answerTokens = 20
+	// APIKey is the key of the client account of Document.
+	APIKey     = "secret"
+	entriesTTL = 300 * time.Millisecond
+	// AnswerTokens is the length of the answers of Engine.
+	AnswerTokens = 20
 	// startLimit bounds the wait for an instance to be ready; a test that
 	// reaches it fails.
 	startLimit = 30 * time.Second
 )
 
-const fleetDocument = `schema: 1
+// Document is the configuration that New publishes.
+const Document = `schema: 1
 models:
   - name: small
     versions:
@@ -65,68 +70,71 @@
 cold_limits: []
 `
 
-// fleet is a platform, backend servers and entry instances in one process.
-type fleet struct {
+// Fleet is a platform, backend servers and entry instances in one process.
+type Fleet struct {
 	t        testing.TB
 	platform *platformserver.Server
 	log      *logservice.Service
 	address  string
-	engine   *engineserver.Engine
-	ledger   *serviceserver.Service
+	// Engine is nil where the fleet was started without one.
+	Engine *engineserver.Engine
+	Ledger *serviceserver.Service
 
 	operatorKey ed25519.PrivateKey
 	publicKey   ed25519.PublicKey
 
 	mu        sync.Mutex
 	instances []platform.Instance
-	entries   map[string]*runningEntry
+	entries   map[string]*Entry
 }
 
-// runningEntry is one entry instance.
-type runningEntry struct {
-	callers string
-	admin   string
+// Entry is one entry instance.
+type Entry struct {
+	Callers string
+	Admin   string
 	cancel  context.CancelFunc
 	done    chan error
 }
 
-// newFleet starts a platform, one engine and one ledger.
-func newFleet(t testing.TB) *fleet {
+// New starts a platform, one engine and one ledger.
+func New(t testing.TB) *Fleet {
 	t.Helper()
-	engine := engineserver.New(engineserver.Config{Tokens: answerTokens, TokenTime: 5 * time.Millisecond, MaxRunning: 1000, Resumable: true})
-	return newFleetWith(t, engine)
+	engine := engineserver.New(engineserver.Config{Tokens: AnswerTokens, TokenTime: 5 * time.Millisecond, MaxRunning: 1000, Resumable: true})
+	return NewWith(t, engine)
 }
 
-// newFleetWith starts a platform, a ledger, and the engine unless it is nil.
-func newFleetWith(t testing.TB, engine *engineserver.Engine) *fleet {
+// NewWith starts a platform, a ledger, and the engine unless it is nil.
+func NewWith(t testing.TB, engine *engineserver.Engine) *Fleet {
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(nil)
 	must.NoError(t, err)
-	f := &fleet{t: t, operatorKey: private, publicKey: public, log: logservice.New(0), entries: map[string]*runningEntry{}}
+	f := &Fleet{t: t, operatorKey: private, publicKey: public, log: logservice.New(0), entries: map[string]*Entry{}}
 	f.platform = platformserver.New(f.log, func(*platform.RatingRequest) float64 { return 0.9 })
 	f.address = loopback.Serve(t, f.platform.Handle)
-	f.engine = engine
-	f.ledger = serviceserver.New()
+	f.Engine = engine
+	f.Ledger = serviceserver.New()
 	if engine != nil {
-		f.addBackend("engine-1", platform.RoleEngine, loopback.Serve(t, engine.Handle), "small-1", "large-1")
+		f.AddBackend("engine-1", platform.RoleEngine, loopback.Serve(t, engine.Handle), "small-1", "large-1")
 	}
-	f.addBackend("ledger-1", platform.RoleService, loopback.Serve(t, f.ledger.Handle), "ledger")
-	f.publish(fleetDocument)
+	f.AddBackend("ledger-1", platform.RoleService, loopback.Serve(t, f.Ledger.Handle), "ledger")
+	f.Publish(Document)
 	return f
 }
 
-func (f *fleet) addBackend(id string, role platform.Role, address string, serves ...string) {
+// AddBackend lists a backend server.
+func (f *Fleet) AddBackend(id string, role platform.Role, address string, serves ...string) {
 	f.list(platform.Instance{ID: id, Address: address, Role: role, Serves: serves, FailureDomain: "wdh-a", State: platform.InstanceLive, Incarnation: "1"})
 }
 
-func (f *fleet) list(row platform.Instance) {
+func (f *Fleet) list(row platform.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.instances = append(f.instances, row)
 	f.platform.SetInstances(platform.InstanceList{Instances: append([]platform.Instance(nil), f.instances...)})
 }
 
-func (f *fleet) publish(text string) {
+// Publish signs and publishes a document.
+func (f *Fleet) Publish(text string) {
 	f.t.Helper()
 	doc, err := document.Parse([]byte(text))
 	must.NoError(f.t, err)
@@ -146,8 +154,8 @@
 	return listener.Addr().String()
 }
 
-// start starts an entry instance and waits until it answers.
-func (f *fleet) start(id string) *runningEntry {
+// Start starts an entry instance and waits until it answers.
+func (f *Fleet) Start(id string) *Entry {
 	f.t.Helper()
 	s := &settings.Entry{
 		Instance: id, FailureDomain: "wdh-a", Region: "windhoek",
@@ -163,7 +171,7 @@
 	in, err := instance.New(s, []byte("0123456789abcdef0123456789abcdef"))
 	must.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &runningEntry{callers: s.Listen.Callers, admin: s.Listen.Metrics, cancel: cancel, done: make(chan error, 1)}
+	e := &Entry{Callers: s.Listen.Callers, Admin: s.Listen.Metrics, cancel: cancel, done: make(chan error, 1)}
 	go func() { e.done <- in.Run(ctx) }()
 	f.list(platform.Instance{ID: id, Address: s.Listen.Callers, ControlAddress: s.Listen.Peers, Role: platform.RoleEntry, FailureDomain: "wdh-a", State: platform.InstanceLive})
 	f.entries[id] = e
@@ -175,13 +183,13 @@
 }
 
 // awaitEntries waits until the instance names all others in its answer.
-func (f *fleet) awaitEntries(e *runningEntry) {
+func (f *Fleet) awaitEntries(e *Entry) {
 	f.t.Helper()
 	deadline := time.Now().Add(startLimit)
 	for {
 		var answer entries.Answer
-		r, err := call(e.callers, fasthttp.MethodGet, entries.Path, "", "")
-		if err == nil && json.Unmarshal([]byte(r.body), &answer) == nil && len(answer.Entries) == len(f.entries) {
+		r, err := Call(e.Callers, fasthttp.MethodGet, entries.Path, "", "")
+		if err == nil && json.Unmarshal([]byte(r.Body), &answer) == nil && len(answer.Entries) == len(f.entries) {
 			return
 		}
 		must.True(f.t, time.Now().Before(deadline))
@@ -190,13 +198,13 @@
 }
 
 // awaitReady waits until the instance answers a request of each kind.
-func (f *fleet) awaitReady(e *runningEntry) {
+func (f *Fleet) awaitReady(e *Entry) {
 	f.t.Helper()
 	deadline := time.Now().Add(startLimit)
 	for {
-		chat, chatErr := call(e.callers, fasthttp.MethodPost, "/v1/chat/completions", chatBody(false), "")
-		read, readErr := call(e.callers, fasthttp.MethodGet, "/v1/services/ledger/bookings/none", "", "")
-		if chatErr == nil && readErr == nil && chat.status == fasthttp.StatusOK && read.status == fasthttp.StatusNotFound {
+		chat, chatErr := Call(e.Callers, fasthttp.MethodPost, "/v1/chat/completions", ChatBody(false), "")
+		read, readErr := Call(e.Callers, fasthttp.MethodGet, "/v1/services/ledger/bookings/none", "", "")
+		if chatErr == nil && readErr == nil && chat.Status == fasthttp.StatusOK && read.Status == fasthttp.StatusNotFound {
 			return
 		}
 		must.True(f.t, time.Now().Before(deadline))
@@ -204,28 +212,17 @@
 	}
 }
 
-// stop carries out a planned stop, of which the platform's list learns too,
-// and returns its result.
-func (f *fleet) stop(id string) error {
-	f.markLeaving(id)
+// Stop carries out a planned stop and returns its result. The platform's list
+// lags so far that it goes on showing the instance as live.
+func (f *Fleet) Stop(id string) error {
 	e := f.entries[id]
 	delete(f.entries, id)
 	e.cancel()
 	return <-e.done
 }
 
-func (f *fleet) markLeaving(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := range f.instances {
-		if f.instances[i].ID == id {
-			f.instances[i].State = platform.InstanceLeaving
-		}
-	}
-	f.platform.SetInstances(platform.InstanceList{Instances: append([]platform.Instance(nil), f.instances...)})
-}
-
-func (f *fleet) stopAll() {
+// StopAll carries out a planned stop of every instance at once.
+func (f *Fleet) StopAll() {
 	f.t.Helper()
 	for _, e := range f.entries {
 		e.cancel()
@@ -235,15 +232,15 @@
 	}
 }
 
-// reply is what a caller saw.
-type reply struct {
-	status  int
-	header  fasthttp.ResponseHeader
-	body    string
-	version string
+// Reply is what a caller saw.
+type Reply struct {
+	Status  int
+	Body    string
+	Version string
 }
 
-func chatBody(stream bool) string {
+// ChatBody returns the body of a chat request.
+func ChatBody(stream bool) string {
 	return fmt.Sprintf(`{"model":"draft","stream":%t,"messages":[{"role":"user","content":"hello"}]}`, stream)
 }
 
@@ -254,12 +251,14 @@
 	MaxConnsPerHost:           1000,
 }
 
-func call(address, method, path, body, idempotencyKey string) (*reply, error) {
+// Call sends one request with the API key and, where it is not empty, an
+// idempotency key.
+func Call(address, method, path, body, idempotencyKey string) (*Reply, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + address + path)
 	req.Header.SetMethod(method)
-	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Authorization", "Bearer "+APIKey)
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
 	}
@@ -269,7 +268,5 @@
 	if err := callerClient.DoTimeout(req, resp, startLimit); err != nil {
 		return nil, err
 	}
-	r := &reply{status: resp.StatusCode(), body: string(resp.Body()), version: string(resp.Header.Peek("X-Medlarslip-Version"))}
-	resp.Header.CopyTo(&r.header)
-	return r, nil
+	return &Reply{Status: resp.StatusCode(), Body: string(resp.Body()), Version: string(resp.Header.Peek("X-Medlarslip-Version"))}, nil
 }
