--- a/internal/standin/localfleet/localfleet.go
+++ b/internal/standin/localfleet/localfleet.go
@@ -154,11 +154,15 @@
 	return listener.Addr().String()
 }
 
+// failureDomains are those of Document; instances take them in turn.
+var failureDomains = []string{"wdh-a", "wdh-b"}
+
 // Start starts an entry instance and waits until it answers.
 func (f *Fleet) Start(id string) *Entry {
 	f.t.Helper()
+	failureDomain := failureDomains[len(f.entries)%len(failureDomains)]
 	s := &settings.Entry{
-		Instance: id, FailureDomain: "wdh-a", Region: "windhoek",
+		Instance: id, FailureDomain: failureDomain, Region: "windhoek",
 		Listen:   settings.Listen{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Metrics: freeAddress(f.t)},
 		Platform: settings.Platform{Log: f.address, Instances: f.address, Ratings: f.address, Weights: f.address},
 		Keys: settings.Keys{SharedKeyFile: "unused", Operators: []settings.OperatorKey{
@@ -173,7 +177,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{Callers: s.Listen.Callers, Admin: s.Listen.Metrics, cancel: cancel, done: make(chan error, 1)}
 	go func() { e.done <- in.Run(ctx) }()
-	f.list(platform.Instance{ID: id, Address: s.Listen.Callers, ControlAddress: s.Listen.Peers, Role: platform.RoleEntry, FailureDomain: "wdh-a", State: platform.InstanceLive})
+	f.list(platform.Instance{ID: id, Address: s.Listen.Callers, ControlAddress: s.Listen.Peers, Role: platform.RoleEntry, FailureDomain: failureDomain, State: platform.InstanceLive})
 	f.entries[id] = e
 	f.awaitReady(e)
 	for _, other := range f.entries {
