--- a/internal/transport/engine/engine.go
+++ b/internal/transport/engine/engine.go
@@ -46,9 +46,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := prepare(req, call, false); err != nil {
-		return nil, err
-	}
+	prepare(req, call, false)
 	if err := c.pool.Do(ctx, call.Address, req, resp, httpconn.ReuseIdle); err != nil {
 		return nil, callError(err)
 	}
@@ -58,28 +56,45 @@
 	return checkWhole(call, resp)
 }
 
-func prepare(req *fasthttp.Request, call *attempt.EngineCall, stream bool) error {
-	body := make(map[string]json.RawMessage, len(call.Body)+3)
-	for key, value := range call.Body {
-		body[key] = value
-	}
-	body["model"] = quote(call.VersionID)
-	body["stream"] = json.RawMessage(strconv.FormatBool(stream))
-	body["priority"] = json.RawMessage(strconv.Itoa(call.Priority))
-	if stream {
-		body["stream_options"] = json.RawMessage(`{"include_usage":true}`)
-	}
-	text, err := json.Marshal(body)
-	if err != nil {
-		return merry.Prepend(attempt.ErrRejected, err.Error())
-	}
+func prepare(req *fasthttp.Request, call *attempt.EngineCall, stream bool) {
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + call.Address + openai.ChatCompletionsPath)
 	req.Header.SetContentType("application/json")
 	req.Header.Set(HeaderRequestID, call.AttemptID)
 	req.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
-	req.SetBodyRaw(text)
-	return nil
+	req.SetBodyRaw(encodeBody(call, stream))
+}
+
+// encodeBody writes the caller's fields with those that the system sets.
+func encodeBody(call *attempt.EngineCall, stream bool) []byte {
+	body := append([]byte(`{"model":`), quote(call.VersionID)...)
+	body = append(body, `,"stream":`...)
+	body = strconv.AppendBool(body, stream)
+	body = append(body, `,"priority":`...)
+	body = strconv.AppendInt(body, int64(call.Priority), 10)
+	if stream {
+		body = append(body, `,"stream_options":{"include_usage":true}`...)
+	}
+	for key, value := range call.Body {
+		if isOwnField(key) {
+			continue
+		}
+		body = append(body, ',')
+		body = append(body, quote(key)...)
+		body = append(body, ':')
+		body = append(body, value...)
+	}
+	return append(body, '}')
+}
+
+// isOwnField reports whether the system sets a field in place of the caller.
+func isOwnField(key string) bool {
+	switch key {
+	case "model", "stream", "stream_options", "priority":
+		return true
+	default:
+		return false
+	}
 }
 
 func quote(text string) json.RawMessage {
--- a/internal/transport/engine/engine_test.go
+++ b/internal/transport/engine/engine_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/openai"
@@ -98,6 +99,38 @@
 	must.ErrorIs(t, err, attempt.ErrUnreachable)
 }
 
+// received decodes the body that an engine gets for a call.
+func received(t *testing.T, complete func(client *engine.Client, call *attempt.EngineCall)) map[string]json.RawMessage {
+	t.Helper()
+	var fields map[string]json.RawMessage
+	address := loopback.Serve(t, func(ctx *fasthttp.RequestCtx) {
+		must.NoError(t, json.Unmarshal(ctx.PostBody(), &fields))
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	})
+	complete(newClient(t), newCall(address))
+	return fields
+}
+
+func TestEngineGetsTheCallersFieldsAndTheSystems(t *testing.T) {
+	whole := received(t, func(client *engine.Client, call *attempt.EngineCall) {
+		call.Body["Stream"] = json.RawMessage(`"other case"`)
+		_, err := client.Complete(context.Background(), call)
+		must.ErrorIs(t, err, attempt.ErrBusy)
+	})
+	must.Eq(t, map[string]json.RawMessage{
+		"model": json.RawMessage(`"small-1"`), "stream": json.RawMessage(`false`), "priority": json.RawMessage(`3`),
+		"messages": json.RawMessage(`[{"role":"user","content":"hello"}]`), "temperature": json.RawMessage(`0.5`),
+		"Stream": json.RawMessage(`"other case"`),
+	}, whole)
+	stream := received(t, func(client *engine.Client, call *attempt.EngineCall) {
+		call.Body["stream_options"] = json.RawMessage(`{"include_usage":false}`)
+		_, err := client.Open(context.Background(), call, 0)
+		must.ErrorIs(t, err, attempt.ErrBusy)
+	})
+	must.Eq(t, `true`, string(stream["stream"]))
+	must.Eq(t, `{"include_usage":true}`, string(stream["stream_options"]))
+}
+
 // collect reads a stream to its end and returns the text.
 func collect(stream attempt.Stream) (string, error) {
 	defer stream.Close()
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -31,9 +31,7 @@
 func (c *Client) Open(ctx context.Context, call *attempt.EngineCall, after int) (attempt.Stream, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	if err := prepare(req, call, true); err != nil {
-		return nil, err
-	}
+	prepare(req, call, true)
 	if after > 0 {
 		req.Header.Set(HeaderLastEventID, strconv.Itoa(after))
 	}
