Keep the usage of a stream from callers that did not ask for it

Engines are asked for usage on every stream, and send it as a part without a choice. Clients that did not ask may read the first choice of every part; the part is counted for the bill and left out for them. The stand-in sent usage with the finish reason, which hid this.

--- a/internal/coordination/dispatch/stream.go
+++ b/internal/coordination/dispatch/stream.go
@@ -168,6 +168,9 @@
 			continue
 		}
 		s.note(chunk)
+		if s.usageUnasked(chunk) {
+			continue
+		}
 		return s.withID(chunk), nil
 	}
 }
@@ -216,6 +219,20 @@
 	return choice.Delta.Content == "" && choice.FinishReason == nil && len(choice.Delta.ToolCalls) == 0
 }
 
+// usageUnasked reports whether a part holds only the usage, which every engine
+// is asked for, and the caller did not ask for it. Clients that did not may
+// rely on every part having a choice.
+func (s *ChatStream) usageUnasked(chunk *attempt.Chunk) bool {
+	if chunk.Parsed.Usage == nil || len(chunk.Parsed.Choices) > 0 {
+		return false
+	}
+	var options openai.StreamOptions
+	if raw, ok := s.call.Body["stream_options"]; ok {
+		_ = json.Unmarshal(raw, &options) // a malformed field asks for nothing
+	}
+	return !options.IncludeUsage
+}
+
 // withID returns the text of a part under the ID that the caller knows.
 func (s *ChatStream) withID(chunk *attempt.Chunk) []byte {
 	if string(s.id) == chunk.Parsed.ID {
--- a/internal/coordination/dispatch/stream_test.go
+++ b/internal/coordination/dispatch/stream_test.go
@@ -299,3 +299,42 @@
 	must.Eq(t, 1, len(bills))
 	must.Eq(t, "unknown", bills[0].Outcome)
 }
+
+func TestUsageIsSentOnlyToCallersThatAskForIt(t *testing.T) {
+	cases := []struct {
+		name, options string
+		want          int
+	}{
+		{"not asked for", "", 0},
+		{"declined", `{"include_usage":false}`, 0},
+		{"malformed", `7`, 0},
+		{"asked for", `{"include_usage":true}`, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newStreamBench(t, 1, true)
+			call := b.call()
+			if tc.options != "" {
+				call.Body["stream_options"] = json.RawMessage(tc.options)
+			}
+			stream, refused := b.router.Stream(context.Background(), call)
+			must.Nil(t, refused)
+			defer stream.Close()
+			withoutChoice := 0
+			for {
+				data, err := stream.Next()
+				if err != nil {
+					must.ErrorIs(t, err, io.EOF)
+					break
+				}
+				var chunk openai.Chunk
+				must.NoError(t, json.Unmarshal(data, &chunk))
+				if len(chunk.Choices) == 0 {
+					withoutChoice++
+				}
+			}
+			must.Eq(t, tc.want, withoutChoice)
+			must.Eq(t, 18, b.bills.all()[0].Steps[0].Tokens)
+		})
+	}
+}
--- a/internal/protocol/openai/openai.go
+++ b/internal/protocol/openai/openai.go
@@ -27,6 +27,12 @@
 	User      string    `json:"user"`
 }
 
+// StreamOptions are the options of a streamed request.
+type StreamOptions struct {
+	// IncludeUsage asks for a last part without a choice that holds the usage.
+	IncludeUsage bool `json:"include_usage"`
+}
+
 // Usage counts the tokens of one answer.
 type Usage struct {
 	PromptTokens     int64 `json:"prompt_tokens"`
--- a/internal/standin/engineserver/stream.go
+++ b/internal/standin/engineserver/stream.go
@@ -65,21 +65,26 @@
 }
 
 func (a *answer) writeToken(w io.Writer, i int, token string) error {
-	return a.writeChunk(w, a.after+i+1, openai.ChunkChoice{Delta: openai.Delta{Content: token}}, nil)
+	return a.writeChunk(w, a.after+i+1, []openai.ChunkChoice{{Delta: openai.Delta{Content: token}}}, nil)
 }
 
+// writeEnd sends the finish reason, and usage in a chunk of its own that has
+// no choice, as the OpenAI API does.
 func (a *answer) writeEnd(w io.Writer, count int) error {
 	finish := "stop"
-	if err := a.writeChunk(w, a.after+count+1, openai.ChunkChoice{FinishReason: &finish}, a.usage()); err != nil {
+	if err := a.writeChunk(w, a.after+count+1, []openai.ChunkChoice{{FinishReason: &finish}}, nil); err != nil {
+		return err
+	}
+	if err := a.writeChunk(w, a.after+count+2, []openai.ChunkChoice{}, a.usage()); err != nil {
 		return err
 	}
 	_, err := fmt.Fprintf(w, "data: %s\n\n", openai.DoneMark)
 	return err
 }
 
-func (a *answer) writeChunk(w io.Writer, event int, choice openai.ChunkChoice, usage *openai.Usage) error {
+func (a *answer) writeChunk(w io.Writer, event int, choices []openai.ChunkChoice, usage *openai.Usage) error {
 	data, err := json.Marshal(openai.Chunk{
-		ID: a.id(), Object: "chat.completion.chunk", Model: a.model(), Choices: []openai.ChunkChoice{choice}, Usage: usage,
+		ID: a.id(), Object: "chat.completion.chunk", Model: a.model(), Choices: choices, Usage: usage,
 	})
 	if err != nil {
 		return err
