Bound the nesting of YAML before it is parsed

A fuzz run of document.Parse had shown no executions for seconds. With the fuzzer's minimiser off (-fuzzminimizetime 1x) the same run made 1,732,473 executions in 60 s without a pause, so that stall is the minimiser's. Deep nesting is a real one: in a trial 64 KiB of nested sequences took 1.4 s to parse and 256 KiB over 3 s, growing with the square.

--- a/internal/protocol/strictyaml/strictyaml.go
+++ b/internal/protocol/strictyaml/strictyaml.go
@@ -59,6 +59,9 @@
 // Decode decodes text into the struct that out points to. The error is a
 // FieldErrors or of the kind ErrInvalid.
 func Decode(text []byte, out any) error {
+	if err := checkNesting(text); err != nil {
+		return err
+	}
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		return syntaxError(err)
