Decide the configuration by position and spread it between instances

What the log decided up to an offset is kept apart from the document in force. What the log accepts while it is replayed is staged, so that a restart takes up no replaced document. Peers exchange digests and hand on accepted documents only; any instance repeats the document in force after a random time, without a leader.

--- /dev/null
+++ b/cmd/medlarslip-config/publish.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/settings"
+)
+
+func check(args []string) error {
+	flags := flag.NewFlagSet("check", flag.ExitOnError)
+	path := flags.String("document", "", "file of the document")
+	_ = flags.Parse(args)
+	if _, err := readDocument(*path); err != nil {
+		return err
+	}
+	fmt.Println("document is valid")
+	return nil
+}
+
+func readDocument(path string) (*document.Document, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return document.Parse(text)
+}
+
+func publish(args []string) error {
+	flags := flag.NewFlagSet("publish", flag.ExitOnError)
+	logOptions := addLogFlags(flags)
+	path := flags.String("document", "", "file of the document")
+	operator := flags.String("operator", "", "name of the operator who signs")
+	keyFile := flags.String("key", "", "file of the operator's private key")
+	reason := flags.String("reason", "", "why the change is made")
+	_ = flags.Parse(args)
+	if *reason == "" || *operator == "" {
+		return errors.New("-reason and -operator are empty; give both, since they stand in the audit trail")
+	}
+	doc, err := readDocument(*path)
+	if err != nil {
+		return err
+	}
+	publisher, err := logOptions.publisher()
+	if err != nil {
+		return err
+	}
+	publisher.Operator = *operator
+	if publisher.Key, err = settings.LoadOperatorKey(*keyFile); err != nil {
+		return err
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	base, err := publisher.Load(ctx)
+	if err != nil {
+		return err
+	}
+	accepted, err := publisher.Publish(ctx, base, doc, *reason)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("document %d is accepted, hash %s\n", accepted.Envelope.Number, accepted.Hash)
+	return nil
+}
--- a/internal/coordination/configuration/follow.go
+++ b/internal/coordination/configuration/follow.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/coordination/eventlog"
@@ -13,66 +13,102 @@
 	"medlarslip/internal/protocol/records"
 )
 
-const (
-	readLimit = 100              // records a page
-	readWait  = 10 * time.Second // wait of one read for the next record
-)
+// readLimit bounds the documents of one page.
+const readLimit = 20
+
+// Observer is told of every decision on a record, with the error of Decide.
+type Observer func(offset int64, record *records.Configuration, err error)
 
 // Follower reads the configuration stream and applies it to a Store.
 type Follower struct {
-	store *Store
-	log   eventlog.Log
-	next  int64
+	store    *Store
+	reader   *eventlog.Follower
+	observer Observer
+	snapshot *snapshotClock
 }
 
 // NewFollower returns a follower that starts at the oldest kept record.
 func NewFollower(store *Store, log eventlog.Log) *Follower {
-	return &Follower{store: store, log: log}
+	f := &Follower{store: store, observer: func(int64, *records.Configuration, error) {}, snapshot: &snapshotClock{}}
+	store.beginReplay()
+	options := eventlog.FollowerOptions{ReadLimit: readLimit, KeepRepeats: true, OnPage: f.notePage}
+	f.reader = eventlog.NewFollower(log, platform.StreamConfiguration, f, options)
+	return f
 }
 
+// Observe sets the function that is told of every decision. It must be called
+// before the first step.
+func (f *Follower) Observe(observer Observer) { f.observer = observer }
+
 // Run follows the stream until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	wait := backoff.NewExponentialBackOff()
-	for ctx.Err() == nil {
-		if err := f.Step(ctx, readWait); err == nil {
-			wait.Reset()
-			continue
-		}
-		select {
-		case <-time.After(wait.NextBackOff()):
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
+func (f *Follower) Run(ctx context.Context) error { return f.reader.Run(ctx) }
 
 // Step reads and applies one page. The error is of the kind
-// eventlog.ErrUnavailable.
+// eventlog.ErrUnavailable or eventlog.ErrInconsistent.
 func (f *Follower) Step(ctx context.Context, wait time.Duration) error {
-	page, err := f.log.Read(ctx, platform.StreamConfiguration, f.next, readLimit, wait)
-	if err != nil {
-		return err
-	}
-	for i, raw := range page.Records {
-		f.apply(page.FirstOffset+int64(i), raw)
+	return f.reader.Step(ctx, wait)
+}
+
+// Gap implements eventlog.Consumer.
+func (f *Follower) Gap(from, to int64) {
+	f.store.loseBelow(to)
+	entry := logrus.WithFields(logrus.Fields{"from": from, "to": to})
+	if f.seekPosition(to) {
+		entry.Info("configuration records were removed unread; a peer told what they decided")
+		return
 	}
-	f.next = page.FirstOffset + int64(len(page.Records))
-	return nil
+	entry.Info("configuration records were removed unread; looking for a snapshot")
 }
 
-func (f *Follower) apply(offset int64, raw json.RawMessage) {
+// Record implements eventlog.Consumer.
+func (f *Follower) Record(offset int64, raw json.RawMessage) {
+	if f.seekPosition(offset) {
+		return
+	}
 	var record records.Configuration
 	if err := json.Unmarshal(raw, &record); err != nil {
+		f.store.passOver(offset)
 		logrus.WithField("offset", offset).WithError(err).Warn("configuration record is unreadable and was passed over")
 		return
 	}
-	fields := logrus.Fields{"offset": offset, "number": record.Envelope.Number, "operator": record.Envelope.Operator}
-	err := f.store.Apply(&record)
-	if err == nil {
-		logrus.WithFields(fields).Info("configuration in force")
+	err := f.store.Decide(offset, &record)
+	if record.Snapshot && err == nil {
+		f.snapshot.noteSnapshot(record.AsOf)
+	}
+	f.report(offset, &record, err)
+	f.seekPosition(offset + 1)
+}
+
+// notePage looks after each page at what retention left, and at whether a
+// peer told of a position meanwhile.
+func (f *Follower) notePage(oldest, _ int64) {
+	f.snapshot.noteOldest(oldest)
+	if !f.seekPosition(f.reader.Next()) && f.reader.CaughtUp() {
+		f.store.endReplay()
+	}
+}
+
+// seekPosition makes the reader go on where the store's position is, if that
+// was found elsewhere than at an offset. It reports whether it did.
+func (f *Follower) seekPosition(offset int64) bool {
+	asOf, known := f.store.AsOf()
+	if !known || asOf == offset {
+		return false
+	}
+	f.reader.MoveTo(asOf)
+	return true
+}
+
+func (f *Follower) report(offset int64, record *records.Configuration, err error) {
+	f.observer(offset, record, err)
+	if record.Snapshot {
 		return
 	}
-	if !record.Snapshot {
+	fields := logrus.Fields{"offset": offset, "number": record.Envelope.Number, "operator": record.Envelope.Operator}
+	switch {
+	case err == nil:
+		logrus.WithFields(fields).Info("configuration accepted")
+	case errors.Is(err, ErrRejected):
 		logrus.WithFields(fields).WithError(err).Warn("configuration rejected")
 	}
 }
--- /dev/null
+++ b/internal/coordination/configuration/snapshot.go
@@ -0,0 +1,164 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/protocol/records"
+)
+
+const (
+	// SnapshotInterval is the shortest time between two snapshots as one
+	// instance sees it. The log service must keep records for at least three
+	// times as long.
+	SnapshotInterval = 10 * time.Minute
+	// urgentWindow spreads the snapshots that are written as soon as none is
+	// left that a new instance could start from.
+	urgentWindow = 10 * time.Second
+	// snapshotCheck is the time between two looks at whether one is due.
+	snapshotCheck = time.Second
+)
+
+// snapshotClock says when this instance should repeat the document in force.
+// No instance leads: each waits for a random time after the last snapshot
+// that it saw, so that the first one's silences the others, as in the Trickle
+// algorithm (RFC 6206).
+type snapshotClock struct {
+	mu sync.Mutex
+	// anchor is the highest offset from which a new instance could start.
+	anchor int64
+	oldest int64
+	due    time.Time
+	// random is nil where this instance writes no snapshots.
+	random *rand.Rand
+}
+
+// start makes snapshots due at times drawn from a random source.
+func (c *snapshotClock) start(random *rand.Rand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.random = random
+	c.restart(SnapshotInterval, SnapshotInterval)
+}
+
+// restart draws the time at which the next snapshot is due.
+func (c *snapshotClock) restart(least, window time.Duration) {
+	if c.random != nil {
+		c.due = time.Now().Add(least + time.Duration(c.random.Int64N(int64(window))))
+	}
+}
+
+func (c *snapshotClock) noteSnapshot(asOf int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if asOf <= c.anchor {
+		return
+	}
+	c.anchor = asOf
+	c.restart(SnapshotInterval, SnapshotInterval)
+}
+
+// noteOldest notes the oldest kept offset. Where it has passed the anchor, a
+// snapshot is wanted at once.
+func (c *snapshotClock) noteOldest(oldest int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hadStart := c.anchor >= c.oldest
+	c.oldest = max(c.oldest, oldest)
+	if hadStart && c.anchor < c.oldest {
+		c.restart(0, urgentWindow)
+	}
+}
+
+func (c *snapshotClock) isDue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random != nil && !time.Now().Before(c.due)
+}
+
+// postpone waits for a snapshot just written to be read back.
+func (c *snapshotClock) postpone() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restart(urgentWindow, urgentWindow)
+}
+
+// Snapshotter repeats the document in force on the log before retention
+// removes it, so that an instance which starts later finds it there.
+type Snapshotter struct {
+	store    *Store
+	follower *Follower
+	log      eventlog.Log
+	budget   *eventlog.Budget
+	writer   records.Writer
+}
+
+// NewSnapshotter returns a snapshotter that writes as one run of an instance
+// what its follower has read, within its append budget.
+func NewSnapshotter(follower *Follower, log eventlog.Log, budget *eventlog.Budget, instance, incarnation string) *Snapshotter {
+	follower.snapshot.start(newRandom(instance, incarnation))
+	return &Snapshotter{
+		store:    follower.store,
+		follower: follower,
+		log:      log,
+		budget:   budget,
+		writer:   records.Writer{Instance: instance, Incarnation: incarnation},
+	}
+}
+
+// Run writes snapshots when they are due until ctx ends.
+func (s *Snapshotter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(snapshotCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if s.follower.snapshot.isDue() {
+				s.write(ctx)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// write appends one snapshot. Where that fails, or its effect is unknown, the
+// next one is due soon unless this one is read back; a second copy is
+// harmless.
+func (s *Snapshotter) write(ctx context.Context) {
+	s.follower.snapshot.postpone()
+	wait := time.NewTimer(s.budget.Reserve(time.Now()))
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+		return
+	}
+	if err := s.Append(ctx); err != nil {
+		logrus.WithError(err).Debug("configuration snapshot was not appended")
+	}
+}
+
+// Append appends a snapshot now. It does nothing while the position is not
+// known or nothing was read yet. The error is that of eventlog.Log.
+func (s *Snapshotter) Append(ctx context.Context) error {
+	record := s.store.snapshot()
+	if record == nil || record.AsOf == 0 {
+		return nil
+	}
+	s.writer.Sequence++
+	record.Writer = s.writer
+	raw, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = s.log.Append(ctx, platform.StreamConfiguration, []json.RawMessage{raw})
+	return err
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -156,3 +156,17 @@
 	}
 	return ids
 }
+
+// PeerAddresses returns the control addresses of the other entry instances,
+// those that leave included.
+func (m *Members) PeerAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addresses := []string{}
+	for _, instance := range m.entries {
+		if instance.ID != m.self.ID && instance.ControlAddress != "" {
+			addresses = append(addresses, instance.ControlAddress)
+		}
+	}
+	return addresses
+}
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/xid"
 
+	"medlarslip/internal/coordination/audit"
 	"medlarslip/internal/coordination/billing"
 	"medlarslip/internal/coordination/claims"
 	"medlarslip/internal/coordination/configuration"
@@ -40,6 +41,8 @@
 	peerServer   *peer.Server
 	peerClient   *peer.Client
 	store        *configuration.Store
+	budget       *eventlog.Budget
+	trail        *audit.Trail
 	table        *backends.Table
 	members      *membership.Members
 	bookings     *claims.Coordinator
--- a/internal/instance/configuration.go
+++ b/internal/instance/configuration.go
@@ -1,14 +1,75 @@
 package instance
 
-import "medlarslip/internal/coordination/configuration"
+import (
+	"context"
+	"encoding/json"
 
-// addConfiguration adds the parts that learn which document is in force.
+	"github.com/ansel1/merry/v2"
+
+	"medlarslip/internal/coordination/audit"
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/transport/peer"
+)
+
+// exchangeMethod is the call between entry instances by which the document in
+// force spreads.
+const exchangeMethod = "configuration.exchange"
+
+// addConfiguration adds the parts that learn which document is in force,
+// spread it, keep it on the log, and write the audit trail.
 func (a *assembly) addConfiguration() error {
 	keys, err := a.settings.Keys.PublicKeys()
 	if err != nil {
 		return err
 	}
 	a.store = configuration.NewStore(keys)
-	a.followers = append(a.followers, configuration.NewFollower(a.store, a.log).Run)
+	a.budget = eventlog.NewBudget(a.fleetSize)
+	follower := configuration.NewFollower(a.store, a.log)
+	snapshots := configuration.NewSnapshotter(follower, a.log, a.budget, a.settings.Instance, a.incarnation)
+	spread := configuration.NewSpread(a.settings.Instance, a.incarnation, a.store, a, peerCaller{a.peerClient})
+	a.peerServer.Handle(exchangeMethod, answerExchange(spread))
+	a.trail = audit.NewTrail(a.log, a.store, a.budget, a.settings.Instance, a.incarnation)
+	a.followers = append(a.followers, follower.Run, snapshots.Run, spread.Run)
+	a.writers = append(a.writers, a.trail.Run)
 	return nil
 }
+
+// PeerAddresses implements configuration.Peers. The members are added after
+// the configuration.
+func (a *assembly) PeerAddresses() []string { return a.members.PeerAddresses() }
+
+// fleetSize returns the number of entry instances, or 0 as long as none but
+// this one is known.
+func (a *assembly) fleetSize() int {
+	if a.members == nil {
+		return 0
+	}
+	others := len(a.members.PeerAddresses())
+	if others == 0 {
+		return 0
+	}
+	return others + 1
+}
+
+func answerExchange(spread *configuration.Spread) peer.Handler {
+	return func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var question configuration.Exchange
+		if err := json.Unmarshal(params, &question); err != nil {
+			return nil, merry.Prepend(err, "decode a configuration exchange; update the calling instance")
+		}
+		return spread.Answer(&question), nil
+	}
+}
+
+// peerCaller implements configuration.Caller.
+type peerCaller struct{ client *peer.Client }
+
+// Exchange implements configuration.Caller.
+func (c peerCaller) Exchange(ctx context.Context, address string, question *configuration.Exchange) (*configuration.Exchange, error) {
+	var answer configuration.Exchange
+	if err := c.client.Call(ctx, address, exchangeMethod, question, &answer); err != nil {
+		return nil, err
+	}
+	return &answer, nil
+}
--- a/internal/protocol/records/records.go
+++ b/internal/protocol/records/records.go
@@ -19,13 +19,20 @@
 	Writer   Writer          `json:"writer"`
 	Envelope signed.Envelope `json:"envelope"`
 	// Snapshot marks the repeat of an accepted document, which is appended
-	// before retention removes the record that it repeats.
+	// before retention removes the record that it repeats. Its envelope has
+	// number 0 where no document was in force.
 	Snapshot bool `json:"snapshot,omitempty"`
+	// AsOf says of a snapshot that its document was in force after all
+	// records below this offset, and before the one at it.
+	AsOf int64 `json:"as_of,omitempty"`
 }
 
 // Audit is a record of the audit stream: one automatic change.
 type Audit struct {
 	Writer Writer `json:"writer"`
+	// Document is the number of the configuration document in force at the
+	// writer; it places the change among those of the configuration.
+	Document int64 `json:"document"`
 	// Time is the wall clock of the writer in RFC 3339; it orders nothing.
 	Time string `json:"time"`
 	// Actor names the instance or person that made the change.
--- a/internal/transport/adminapi/adminapi.go
+++ b/internal/transport/adminapi/adminapi.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
@@ -27,7 +28,17 @@
 	// Configuration is the number of the document in force; 0 for none.
 	Configuration int64  `json:"configuration"`
 	Hash          string `json:"hash,omitempty"`
-	Leaving       bool   `json:"leaving"`
+	// Source is log or peer, where the document was learned from.
+	Source configuration.Source `json:"source,omitempty"`
+	// LearnedAt is this instance's wall clock when it learned the document.
+	LearnedAt *time.Time `json:"learned_at,omitempty"`
+	// AsOf is the offset up to which the log is decided with this document,
+	// or -1 where this is not known.
+	AsOf int64 `json:"as_of"`
+	// OperatorKeys is the digest of the operators' public keys, which must be
+	// the same on all instances.
+	OperatorKeys string `json:"operator_keys"`
+	Leaving      bool   `json:"leaving"`
 }
 
 // Server answers for one instance. Its fields must be set before the first
@@ -65,9 +76,11 @@
 }
 
 func (s *Server) status() Status {
-	status := Status{Instance: s.Instance, Leaving: s.Leaving()}
+	digest := s.Config.Digest()
+	status := Status{Instance: s.Instance, Leaving: s.Leaving(), AsOf: digest.AsOf, OperatorKeys: digest.Keys}
 	if config := s.Config.Current(); config != nil {
 		status.Configuration, status.Hash = config.Envelope.Number, config.Hash
+		status.Source, status.LearnedAt = config.Source, &config.LearnedAt
 	}
 	return status
 }
