Stop the console whenever it is told to, and show each instance

A stop that came before the server accepted its first connection was lost: fasthttp's Shutdown does nothing until Serve has registered the listener, and Serve then ran for ever.

A page of one instance shows its published figures with their age; roll-outs can be halted from every page; the audit trail is read in the background, so that it is there when the log service goes down; a select of a new item chooses nothing in place of the operator.

--- a/internal/protocol/document/items.go
+++ b/internal/protocol/document/items.go
@@ -170,10 +170,17 @@
 		{"from", "old version", r.From},
 		{"to", "new version", r.To},
 		{"share_percent", "share of the new version", strconv.Itoa(r.SharePercent) + " %"},
-		{"stage", "stage", string(r.Stage)},
+		{"stage", "stage", stageWords(r.Stage)},
 	}}
 }
 
+func stageWords(stage RolloutStage) string {
+	if stage == RolloutDone {
+		return "finished"
+	}
+	return string(stage)
+}
+
 func accountItem(a ClientAccount) Item {
 	return Item{SectionAccounts, a.Name, []Property{
 		{"key_hashes", "hashes of its API keys", list(a.KeyHashes)},
--- a/internal/transport/console/console.go
+++ b/internal/transport/console/console.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"errors"
 	"net"
 	"net/netip"
 	"strconv"
@@ -110,15 +111,25 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.follower.run(ctx) })
 	group.Go(func() error { return s.fleet.run(ctx) })
+	group.Go(func() error { return s.history.run(ctx) })
 	group.Go(func() error { return server.Serve(listener) })
 	group.Go(func() error {
 		<-ctx.Done()
-		return server.Shutdown()
+		return errors.Join(server.Shutdown(), closeListener(listener))
 	})
 	s.opts.Announce(s.LoginURL())
 	return group.Wait()
 }
 
+// closeListener closes a listener that the server does not know yet where the
+// stop came before it began to serve.
+func closeListener(listener net.Listener) error {
+	if err := listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 // Refresh reads the configuration stream and the fleet once. The error is of
 // the kind eventlog.ErrUnavailable.
 func (s *Server) Refresh(ctx context.Context) error {
--- a/internal/transport/console/fleet.go
+++ b/internal/transport/console/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -30,9 +31,11 @@
 	Instances(ctx context.Context) (*platform.InstanceList, error)
 }
 
-// StatusReader reads the status page of an entry instance.
+// StatusReader reads the status and metrics pages of an entry instance.
 type StatusReader interface {
 	Status(ctx context.Context, address string) (*adminapi.Status, error)
+	// Metrics returns the figures that the system publishes, by name.
+	Metrics(ctx context.Context, address string) ([]Metric, error)
 }
 
 // entryView is what is known of one entry instance.
@@ -87,10 +90,12 @@
 	mu       sync.Mutex
 	view     fleetView
 	lastLook time.Time
+	// metrics holds what the listed instances published last, by ID.
+	metrics map[string]metricsView
 }
 
 func newFleet(opts *Options) *fleet {
-	return &fleet{list: opts.Instances, status: opts.Status, addresses: opts.Fleet, now: opts.Now, watched: make(chan struct{}, 1)}
+	return &fleet{list: opts.Instances, status: opts.Status, addresses: opts.Fleet, now: opts.Now, watched: make(chan struct{}, 1), metrics: map[string]metricsView{}}
 }
 
 // run polls until ctx ends, often while pages are looked at.
@@ -164,6 +169,9 @@
 	slices.SortFunc(entries, func(a, b entryView) int { return strings.Compare(a.ID, b.ID) })
 	f.view.Entries = entries
 	f.view.ListAt = f.now()
+	maps.DeleteFunc(f.metrics, func(id string, _ metricsView) bool {
+		return !slices.ContainsFunc(entries, func(e entryView) bool { return e.ID == id })
+	})
 }
 
 // entryLocked returns the entry of an instance with what was known before.
--- a/internal/transport/console/form.go
+++ b/internal/transport/console/form.go
@@ -81,13 +81,26 @@
 	switch f.Kind {
 	case inputOrder:
 		f.markSlots()
-	case inputSelect, inputChecks:
-		for i := range f.Options {
-			f.Options[i].Selected = contains(f.Values, f.Options[i].Value)
+	case inputChecks:
+		f.markOptions()
+	case inputSelect:
+		// Nothing is chosen in place of the operator.
+		if !f.markOptions() {
+			f.Options = append([]option{{Label: "choose one", Selected: true}}, f.Options...)
 		}
 	}
 }
 
+// markOptions reports whether any option is selected.
+func (f *field) markOptions() bool {
+	found := false
+	for i := range f.Options {
+		f.Options[i].Selected = contains(f.Values, f.Options[i].Value)
+		found = found || f.Options[i].Selected
+	}
+	return found
+}
+
 func (f *field) markSlots() {
 	f.Slots = nil
 	for slot := range max(len(f.Options), len(f.Values)) {
--- a/internal/transport/console/forms_test.go
+++ b/internal/transport/console/forms_test.go
@@ -168,7 +168,12 @@
 	b.post("/withdrawals", "state-small-1", "no")
 	mustContain(t, b.get("/draft").body, "Version small-1 is withdrawn")
 	b.post("/withdrawals")
-	b.post("/domains")
+	mustContain(t, b.get("/draft").body, "Version small-1 is withdrawn")
+	b.post("/withdrawals", "state-small-1", "yes")
+	b.post("/halts", "state-small-2-trial", "no")
+	mustContain(t, b.get("/draft").body, "Roll-out small-2-trial is halted")
+	b.post("/halts", "state-small-2-trial", "yes")
+	b.post("/domains", "state-wdh-a", "yes")
 	mustContain(t, b.get("/draft").body, "You have changed nothing")
 }
 
--- a/internal/transport/console/harness_test.go
+++ b/internal/transport/console/harness_test.go
@@ -58,6 +58,13 @@
 	return &status, nil
 }
 
+func (f *testFleet) Metrics(_ context.Context, address string) ([]Metric, error) {
+	if _, ok := f.statuses[address]; !ok {
+		return nil, errUnreachable
+	}
+	return []Metric{{Name: "caller_refusals", Value: `{"not_allowed": 3}`}}, nil
+}
+
 // newTestFleet returns a fleet in which ben's document 1 is in force.
 func newTestFleet(t *testing.T) *testFleet {
 	t.Helper()
--- a/internal/transport/console/history.go
+++ b/internal/transport/console/history.go
@@ -15,7 +15,10 @@
 	"medlarslip/internal/protocol/signed"
 )
 
-const maxTrail = 500 // entries kept of each stream
+const (
+	maxTrail    = 500 // entries kept of each stream
+	trailPeriod = 30 * time.Second
+)
 
 // documentEntry is one published document in the audit trail.
 type documentEntry struct {
@@ -62,6 +65,21 @@
 	Err error
 }
 
+// run reads the trail now and then until ctx ends, so that there is something
+// to show while the log service is down.
+func (h *history) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		reading, cancel := context.WithTimeout(ctx, callTimeout)
+		h.read(reading)
+		cancel()
+		select {
+		case <-time.After(trailPeriod):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
 // read brings the trail up to date as far as the log service answers.
 func (h *history) read(ctx context.Context) trail {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/transport/console/instance.go
@@ -0,0 +1,61 @@
+package console
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Metric is one published figure of an instance.
+type Metric struct {
+	Name string
+	// Value is the figure as the instance wrote it, in JSON.
+	Value string
+}
+
+// metricsView is what an instance published last.
+type metricsView struct {
+	metrics []Metric
+	at      time.Time
+}
+
+// instanceBody is what the page of one instance shows.
+type instanceBody struct {
+	Row     fleetRow
+	Address string
+	Metrics []Metric
+	// Age is the age of the metrics; Down says that the last read failed.
+	Age  string
+	Down bool
+}
+
+func (s *Server) showInstance(r *request) {
+	view := s.fleet.look()
+	id := r.query.Get("id")
+	i := slices.IndexFunc(view.Entries, func(e entryView) bool { return e.ID == id })
+	if i < 0 {
+		s.refuse(r.ctx, fasthttp.StatusNotFound, "There is no such instance", "It may have left the instance list. Go back to the overview.")
+		return
+	}
+	entry := &view.Entries[i]
+	read, err := s.fleet.readMetrics(entry)
+	body := instanceBody{Row: s.fleetRow(entry, s.follower.current()), Address: entry.address, Metrics: read.metrics, Down: err != nil}
+	body.Age = age(s.opts.Now(), read.at)
+	s.render(r, "instance", "Entry instance "+id, body)
+}
+
+// readMetrics reads the metrics of an instance. Where that fails, it returns
+// those that were read last, and the error.
+func (f *fleet) readMetrics(entry *entryView) (metricsView, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	metrics, err := f.status.Metrics(ctx, entry.address)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		f.metrics[entry.ID] = metricsView{metrics: metrics, at: f.now()}
+	}
+	return f.metrics[entry.ID], err
+}
--- a/internal/transport/console/overview.go
+++ b/internal/transport/console/overview.go
@@ -24,6 +24,8 @@
 
 // fleetBody is the state of the fleet on a page.
 type fleetBody struct {
+	// Root is the path under which all pages lie.
+	Root string
 	Rows []fleetRow
 	// InForce counts the instances that have the document in force.
 	InForce     int
@@ -43,7 +45,7 @@
 // fleetBody compares what the instances have in force with a document.
 func (s *Server) fleetBody(document *configuration.InForce) fleetBody {
 	view := s.fleet.look()
-	body := fleetBody{ListAge: age(s.opts.Now(), view.ListAt), ListDown: view.ListDown}
+	body := fleetBody{Root: s.root, ListAge: age(s.opts.Now(), view.ListAt), ListDown: view.ListDown}
 	for i := range view.Entries {
 		row := s.fleetRow(&view.Entries[i], document)
 		if row.Good {
--- a/internal/transport/console/pages.go
+++ b/internal/transport/console/pages.go
@@ -19,7 +19,7 @@
 var styleSheet []byte
 
 // pageNames are the templates that fill the layout.
-var pageNames = []string{"front", "section", "item", "remove", "switches", "draft", "nodraft", "published", "audit", "message"}
+var pageNames = []string{"front", "section", "item", "remove", "switches", "draft", "nodraft", "published", "instance", "audit", "message"}
 
 var pageTemplates = parsePages()
 
--- a/internal/transport/console/publish_test.go
+++ b/internal/transport/console/publish_test.go
@@ -1,7 +1,9 @@
 package console
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"testing"
 	"time"
 
@@ -241,3 +243,46 @@
 	f.log.Trim(platform.StreamConfiguration, 1)
 	mustContain(t, f.signIn().get("/audit").body, "Document 2 by ben", "Not known: the records before it are no longer kept")
 }
+
+func TestInstancePage(t *testing.T) {
+	f := newTestFleet(t)
+	b := f.signIn()
+	must.Eq(t, fasthttp.StatusNotFound, b.get("/instance?id=entry-z9").status)
+	mustContain(t, b.get("/instance?id=entry-a1").body, "The instance gives no metrics now. What follows was read never")
+	f.statuses["10.0.0.1:8300"] = adminapi.Status{Instance: "entry-a1", Configuration: 1, Hash: f.inForce().Hash}
+	f.refresh()
+	mustContain(t, b.get("/instance?id=entry-a1").body, "caller_refusals", `{"not_allowed": 3}`, "in force", "10.0.0.1:8300")
+	delete(f.statuses, "10.0.0.1:8300")
+	f.now = f.now.Add(9 * time.Second)
+	mustContain(t, b.get("/instance?id=entry-a1").body, "What follows was read 9 s ago", "caller_refusals")
+	f.list.Instances = f.list.Instances[1:]
+	f.refresh()
+	must.MapEmpty(t, f.server.fleet.metrics)
+}
+
+func TestRunEndsCleanly(t *testing.T) {
+	// A stop may come before the server accepts its first connection.
+	for _, stopAtOnce := range []bool{true, false} {
+		for range 20 {
+			runAndStop(t, stopAtOnce)
+		}
+	}
+}
+
+func runAndStop(t *testing.T, stopAtOnce bool) {
+	f := newTestFleet(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if stopAtOnce {
+		cancel()
+	}
+	announced := make(chan string, 1)
+	f.server.opts.Announce = func(url string) { announced <- url }
+	done := make(chan error, 1)
+	go func() { done <- f.server.Run(ctx, listener) }()
+	must.StrContains(t, <-announced, "/login?token=")
+	cancel()
+	must.NoError(t, <-done)
+}
--- a/internal/transport/console/quick.go
+++ b/internal/transport/console/quick.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +34,7 @@
 const (
 	domainsTitle     = "Take failure domains out or bring them back"
 	withdrawalsTitle = "Withdraw versions or bring them back"
+	haltsTitle       = "Halt roll-outs or let them go on"
 )
 
 func (s *Server) domainsBody(doc *document.Document) switchBody {
@@ -84,6 +86,39 @@
 	})
 }
 
+func (s *Server) showHalts(r *request) {
+	s.render(r, "switches", haltsTitle, haltsBody(s.document(r.session)))
+}
+
+func haltsBody(doc *document.Document) switchBody {
+	body := switchBody{
+		Action: "/halts", Question: "Roll-out", OnLabel: "active", OffLabel: "halted",
+		Intro: "While a roll-out is halted, all new work goes to the old version. Sessions that keep the new version stay on it; withdraw the version to stop them too.",
+	}
+	for _, rollout := range doc.Rollouts {
+		if rollout.Stage != document.RolloutDone {
+			note := fmt.Sprintf("from %s to %s, share %d %%", rollout.From, rollout.To, rollout.SharePercent)
+			body.Rows = append(body.Rows, switchRow{Name: rollout.ID, Off: rollout.Stage == document.RolloutHalted, Note: note})
+		}
+	}
+	return body
+}
+
+func (s *Server) saveHalts(r *request) {
+	s.saveSwitches(r, haltsTitle, haltsBody, func(doc *document.Document, off []string) {
+		for i := range doc.Rollouts {
+			rollout := &doc.Rollouts[i]
+			switch {
+			case rollout.Stage == document.RolloutDone:
+			case slices.Contains(off, rollout.ID):
+				rollout.Stage = document.RolloutHalted
+			default:
+				rollout.Stage = document.RolloutActive
+			}
+		}
+	})
+}
+
 // saveSwitches sets which items are off and leads on to the review of the
 // draft.
 func (s *Server) saveSwitches(r *request, title string, body func(*document.Document) switchBody, set func(doc *document.Document, off []string)) {
@@ -94,7 +129,9 @@
 	candidate := document.Clone(d.doc)
 	var off []string
 	for _, row := range body(candidate).Rows {
-		if r.form.Get("state-"+row.Name) == valueNo {
+		state := r.form.Get("state-" + row.Name)
+		// An item that the form did not show stays as it is.
+		if state == valueNo || (state == "" && row.Off) {
 			off = append(off, row.Name)
 		}
 	}
--- a/internal/transport/console/statusclient.go
+++ b/internal/transport/console/statusclient.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
@@ -24,20 +26,46 @@
 
 // Status implements StatusReader.
 func (c *statusClient) Status(ctx context.Context, address string) (*adminapi.Status, error) {
+	var status adminapi.Status
+	if err := c.read(ctx, address, adminapi.StatusPath, &status); err != nil {
+		return nil, err
+	}
+	return &status, nil
+}
+
+const maxMetricBytes = 2000 // length of a shown figure
+
+// Metrics implements StatusReader. The figures that the language's own
+// library publishes are left out.
+func (c *statusClient) Metrics(ctx context.Context, address string) ([]Metric, error) {
+	var published map[string]json.RawMessage
+	if err := c.read(ctx, address, adminapi.MetricsPath, &published); err != nil {
+		return nil, err
+	}
+	delete(published, "cmdline")
+	delete(published, "memstats")
+	metrics := make([]Metric, 0, len(published))
+	for name, value := range published {
+		metrics = append(metrics, Metric{Name: name, Value: string(value[:min(len(value), maxMetricBytes)])})
+	}
+	slices.SortFunc(metrics, func(a, b Metric) int { return strings.Compare(a.Name, b.Name) })
+	return metrics, nil
+}
+
+func (c *statusClient) read(ctx context.Context, address, path string, out any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + adminapi.StatusPath)
+	req.SetRequestURI("http://" + address + path)
 	if err := c.pool.Do(ctx, address, req, resp, httpconn.ReuseIdle); err != nil {
-		return nil, merry.Prepend(errNoStatus, err.Error())
+		return merry.Prepend(errNoStatus, err.Error())
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, merry.Prependf(errNoStatus, "status %d", resp.StatusCode())
+		return merry.Prependf(errNoStatus, "status %d", resp.StatusCode())
 	}
-	var status adminapi.Status
-	if err := json.Unmarshal(resp.Body(), &status); err != nil {
-		return nil, merry.Prepend(errNoStatus, err.Error())
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return merry.Prepend(errNoStatus, err.Error())
 	}
-	return &status, nil
+	return nil
 }
