--- a/internal/transport/console/forms_test.go
+++ b/internal/transport/console/forms_test.go
@@ -177,6 +177,22 @@
 	mustContain(t, b.get("/draft").body, "You have changed nothing")
 }
 
+func TestFaultElsewhereKeepsFormFromBeingSaved(t *testing.T) {
+	f := newTestFleet(t)
+	b := f.signIn()
+	b.takeOut("wdh-b")
+	got := b.post("/item", "of", "failure_domains", "item", "wdh-a", "out", "yes")
+	must.Eq(t, fasthttp.StatusUnprocessableEntity, got.status)
+	mustContain(t, got.body, "Not saved.", "failure domains: all are out")
+	must.False(t, f.server.sessions.get(b.cookie).draft.doc.FailureDomains[0].Out)
+}
+
+func TestSecretIsTakenOutOfTheForm(t *testing.T) {
+	v := newValues(url.Values{"new_key": {testKey}})
+	must.Eq(t, document.HashKey(testKey), v.secretHash("new_key"))
+	must.MapEmpty(t, v.form)
+}
+
 // TestFirstDocumentByForms builds a whole document from nothing.
 func TestFirstDocumentByForms(t *testing.T) {
 	f := newEmptyFleet(t)
--- a/internal/transport/console/overview.go
+++ b/internal/transport/console/overview.go
@@ -27,6 +27,8 @@
 	// Root is the path under which all pages lie.
 	Root string
 	Rows []fleetRow
+	// Behind are the rows that need a look: behind, or not reachable.
+	Behind []fleetRow
 	// InForce counts the instances that have the document in force.
 	InForce     int
 	Unreachable int
@@ -35,6 +37,24 @@
 	ListDown    bool
 }
 
+// maxOpenRows is the number of instances up to which all are shown at once.
+const maxOpenRows = 20
+
+// Many reports whether the fleet is too large to show at once.
+func (b fleetBody) Many() bool { return len(b.Rows) > maxOpenRows }
+
+// Table returns a table of some of the rows.
+func (b fleetBody) Table(rows []fleetRow, caption string) fleetTable {
+	return fleetTable{Root: b.Root, Caption: caption + " (list read " + b.ListAge + ")", Rows: rows}
+}
+
+// fleetTable is one table of entry instances.
+type fleetTable struct {
+	Root    string
+	Caption string
+	Rows    []fleetRow
+}
+
 // serverRow sums up the backend servers of one failure domain.
 type serverRow struct {
 	FailureDomain string
@@ -50,6 +70,8 @@
 		row := s.fleetRow(&view.Entries[i], document)
 		if row.Good {
 			body.InForce++
+		} else {
+			body.Behind = append(body.Behind, row)
 		}
 		if !view.Entries[i].Reachable {
 			body.Unreachable++
--- a/internal/transport/console/publish_test.go
+++ b/internal/transport/console/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -188,6 +189,21 @@
 	}
 }
 
+// TestSameDocumentByColleague has a colleague publish the very text whose
+// publishing by anna had an unknown outcome: it is not hers.
+func TestSameDocumentByColleague(t *testing.T) {
+	f := newTestFleet(t)
+	b := f.signIn()
+	b.takeOut("wdh-b")
+	f.log.OnAppend(func(string, []json.RawMessage) logservice.Fault { return logservice.FaultLoseRequest })
+	must.Eq(t, fasthttp.StatusConflict, b.publish("storm").status)
+	f.log.OnAppend(nil)
+	f.publishAs("ben", "storm", func(d *document.Document) { d.FailureDomains[1].Out = true })
+	f.refresh()
+	mustContain(t, b.get("/draft").body, "A colleague was faster", "<dd>ben</dd>")
+	must.Eq(t, f.server.root+"/", b.get("/published").location)
+}
+
 func TestDiscard(t *testing.T) {
 	f := newTestFleet(t)
 	b := f.signIn()
@@ -244,6 +260,15 @@
 	mustContain(t, f.signIn().get("/audit").body, "Document 2 by ben", "Not known: the records before it are no longer kept")
 }
 
+func TestLargeFleetShowsWhatIsBehind(t *testing.T) {
+	f := newTestFleet(t)
+	for i := range maxOpenRows {
+		f.list.Instances = append(f.list.Instances, platform.Instance{ID: fmt.Sprintf("entry-%d", i), Role: platform.RoleEntry})
+	}
+	f.refresh()
+	mustContain(t, f.signIn().get("/").body, "<caption>Entry instances that are behind or can't be reached (list read just now)", "<summary>All 22 entry instances")
+}
+
 func TestInstancePage(t *testing.T) {
 	f := newTestFleet(t)
 	b := f.signIn()
