--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -30,6 +30,7 @@
 	KindUnknownService     Kind = "unknown_service"
 	KindTooLarge           Kind = "too_large"
 	KindNoConfiguration    Kind = "no_configuration"
+	KindNoEntry            Kind = "no_entry_instance"
 	KindVersionWithdrawn   Kind = "version_withdrawn"
 	KindNoBackend          Kind = "no_backend_server"
 	KindOverloaded         Kind = "overloaded"
@@ -38,6 +39,7 @@
 	KindBrokenAnswer       Kind = "broken_answer"
 	KindKeyRequired        Kind = "idempotency_key_required"
 	KindKeyReused          Kind = "idempotency_key_reused"
+	KindKeyExpired         Kind = "idempotency_key_expired"
 	KindInProgress         Kind = "in_progress"
 	KindLogUnavailable     Kind = "log_unavailable"
 	KindBackendUnavailable Kind = "backend_unavailable"
@@ -110,6 +112,7 @@
 	KindUnknownService:     404,
 	KindTooLarge:           413,
 	KindNoConfiguration:    503,
+	KindNoEntry:            503,
 	KindVersionWithdrawn:   409,
 	KindNoBackend:          503,
 	KindOverloaded:         429,
@@ -118,6 +121,7 @@
 	KindBrokenAnswer:       502,
 	KindKeyRequired:        400,
 	KindKeyReused:          422,
+	KindKeyExpired:         422,
 	KindInProgress:         409,
 	KindLogUnavailable:     503,
 	KindBackendUnavailable: 502,
--- /dev/null
+++ b/internal/standin/loopback/loopback.go
@@ -0,0 +1,50 @@
+// Package loopback serves handlers on loopback addresses for tests.
+package loopback
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+)
+
+// shutdownLimit bounds the wait for handlers that are still busy when their
+// test ends, such as reads that wait for the next record.
+const shutdownLimit = 50 * time.Millisecond
+
+// Serve serves a handler on a free port until the test ends and returns its
+// address.
+func Serve(t testing.TB, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &fasthttp.Server{Handler: handler, CloseOnShutdown: true, Logger: quiet{}}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		_ = server.ShutdownWithContext(ctx)
+		// A server that has not begun to serve yet is not ended by Shutdown.
+		_ = listener.Close()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+// Refused returns an address that refuses connections.
+func Refused(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// quiet drops what the server logs of cut connections.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
