--- a/internal/coordination/billing/keeper.go
+++ b/internal/coordination/billing/keeper.go
@@ -48,7 +48,9 @@
 
 type heldBills struct {
 	heard time.Time
-	bills map[uint64]json.RawMessage
+	// silent is true once the silence of the owner was logged.
+	silent bool
+	bills  map[uint64]json.RawMessage
 }
 
 // NewKeeper returns a keeper without copies.
@@ -66,7 +68,7 @@
 		owner = &heldBills{bills: map[uint64]json.RawMessage{}}
 		k.owners[id] = owner
 	}
-	owner.heard = k.now()
+	owner.heard, owner.silent = k.now(), false
 	k.dropLocked(owner, message.Appended)
 	if err := k.takeLocked(owner, message.Bills); err != nil {
 		return err
@@ -127,7 +129,6 @@
 // repeats.
 func (k *Keeper) TakeOver(ctx context.Context, silence time.Duration) {
 	for id, held := range k.silent(silence) {
-		logrus.WithFields(logrus.Fields{"instance": id.instance, "bills": len(held)}).Info("appending the bills of another instance")
 		for batch := range slices.Chunk(held, maxBatch) {
 			if err := k.appendBatch(ctx, id, batch); err != nil {
 				return // the next round tries again
@@ -144,6 +145,10 @@
 		if k.now().Sub(owner.heard) < silence {
 			continue
 		}
+		if !owner.silent {
+			owner.silent = true
+			logrus.WithFields(logrus.Fields{"instance": id.instance, "bills": len(owner.bills)}).Info("appending the bills of another instance")
+		}
 		for sequence, raw := range owner.bills {
 			found[id] = append(found[id], pendingBill{sequence: sequence, raw: raw})
 		}
--- a/internal/coordination/dispatch/booking.go
+++ b/internal/coordination/dispatch/booking.go
@@ -130,7 +130,7 @@
 
 // billable refuses work whose bill could not be kept.
 func (r *Router) billable() *refusal.Refusal {
-	if !r.Biller.Full() {
+	if r.BillsFull == nil || !r.BillsFull() {
 		return nil
 	}
 	return refusal.New(refusal.KindOverloaded, "the log has been away so long that no further bill can be kept", "call again once the log is back").After(fullRetry)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -35,9 +35,6 @@
 // loss of this instance, or can't for now.
 type Biller interface {
 	Bill(ctx context.Context, bill *records.Bill)
-	// Full reports whether no further bill can be kept, so that new requests
-	// must be refused.
-	Full() bool
 }
 
 // ColdPolicy bounds calls to backend servers that have just started.
@@ -81,11 +78,14 @@
 	Rater         Rater
 	Bookings      Bookings
 	Biller        Biller
-	Cold          ColdPolicy
-	Learner       Learner
-	Sessions      *session.Signer
-	Explanations  *requests.Log
-	Now           func() time.Time
+	// BillsFull reports whether no further bill can be kept, so that new
+	// requests are refused; nil means never.
+	BillsFull    func() bool
+	Cold         ColdPolicy
+	Learner      Learner
+	Sessions     *session.Signer
+	Explanations *requests.Log
+	Now          func() time.Time
 }
 
 const (
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -22,6 +22,7 @@
 		Rater:         a.platform,
 		Bookings:      a.bookings,
 		Biller:        a.bills,
+		BillsFull:     a.bills.Full,
 		Cold:          coldstart.New(a.settings.Instance, a.members.EntryIDs),
 		Learner:       &rollout.Watcher{},
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
