--- a/internal/coordination/dispatch/booking.go
+++ b/internal/coordination/dispatch/booking.go
@@ -91,7 +91,7 @@
 
 // statusAnywhere reads the status at any server of the service.
 func (r *Router) statusAnywhere(ctx context.Context, u *run, call *PlainCall, path string) (*records.KeptAnswer, error) {
-	server := r.acquire(u, call.Service.Name, nil)
+	server := r.acquire(ctx, u, call.Service.Name, nil)
 	if server == nil {
 		return nil, attempt.ErrNoServer
 	}
--- a/internal/coordination/dispatch/service.go
+++ b/internal/coordination/dispatch/service.go
@@ -102,7 +102,7 @@
 	var exclude []string
 	last := sent{err: attempt.ErrNoServer}
 	for range maxAttempts {
-		server := r.acquire(u, call.Service.Name, exclude)
+		server := r.acquire(ctx, u, call.Service.Name, exclude)
 		if server == nil {
 			break
 		}
