--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -21,6 +21,7 @@
 		Rater:         a.platform,
 		Bookings:      a.bookings,
 		Biller:        a.bills,
+		BillsFull:     a.bills.Full,
 		Cold:          a.cold,
 		Learner:       &rollout.Watcher{},
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
