--- a/internal/protocol/strictyaml/strictyaml.go
+++ b/internal/protocol/strictyaml/strictyaml.go
@@ -113,7 +113,9 @@
 func (c *keyChecker) check(node ast.Node, typ reflect.Type, path string) {
 	switch typ.Kind() {
 	case reflect.Pointer:
-		c.check(node, typ.Elem(), path)
+		if _, isNull := node.(*ast.NullNode); !isNull {
+			c.check(node, typ.Elem(), path)
+		}
 	case reflect.Struct:
 		c.checkStruct(node, typ, path)
 	case reflect.Slice:
--- a/internal/standin/localfleet/localfleet.go
+++ b/internal/standin/localfleet/localfleet.go
@@ -31,6 +31,8 @@
 )
 
 const (
+	// SharedKey is the key of 32 bytes that the entry instances share.
+	SharedKey = "0123456789abcdef0123456789abcdef"
 	// APIKey is the key of the client account of Document.
 	APIKey     = "secret"
 	entriesTTL = 300 * time.Millisecond
@@ -72,9 +74,10 @@
 
 // Fleet is a platform, backend servers and entry instances in one process.
 type Fleet struct {
+	// Log is the platform's log service.
+	Log      *logservice.Service
 	t        testing.TB
 	platform *platformserver.Server
-	log      *logservice.Service
 	address  string
 	// Engine is nil where the fleet was started without one.
 	Engine *engineserver.Engine
@@ -108,8 +111,8 @@
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(nil)
 	must.NoError(t, err)
-	f := &Fleet{t: t, operatorKey: private, publicKey: public, log: logservice.New(0), entries: map[string]*Entry{}}
-	f.platform = platformserver.New(f.log, func(*platform.RatingRequest) float64 { return 0.9 })
+	f := &Fleet{t: t, operatorKey: private, publicKey: public, Log: logservice.New(0), entries: map[string]*Entry{}}
+	f.platform = platformserver.New(f.Log, func(*platform.RatingRequest) float64 { return 0.9 })
 	f.address = loopback.Serve(t, f.platform.Handle)
 	f.Engine = engine
 	f.Ledger = serviceserver.New()
@@ -138,7 +141,7 @@
 	f.t.Helper()
 	doc, err := document.Parse([]byte(text))
 	must.NoError(f.t, err)
-	publisher := &configuration.Publisher{Log: f.log, Keys: signed.OperatorKeys{"anna": f.publicKey}, Operator: "anna", Key: f.operatorKey, Now: time.Now}
+	publisher := &configuration.Publisher{Log: f.Log, Keys: signed.OperatorKeys{"anna": f.publicKey}, Operator: "anna", Key: f.operatorKey, Now: time.Now}
 	base, err := publisher.Load(context.Background())
 	must.NoError(f.t, err)
 	_, err = publisher.Publish(context.Background(), base, doc, "test")
@@ -160,32 +163,45 @@
 // Start starts an entry instance and waits until it answers.
 func (f *Fleet) Start(id string) *Entry {
 	f.t.Helper()
-	failureDomain := failureDomains[len(f.entries)%len(failureDomains)]
-	s := &settings.Entry{
-		Instance: id, FailureDomain: failureDomain, Region: "windhoek",
-		Listen:   settings.Listen{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Metrics: freeAddress(f.t)},
-		Platform: settings.Platform{Log: f.address, Instances: f.address, Ratings: f.address, Weights: f.address},
-		Keys: settings.Keys{SharedKeyFile: "unused", Operators: []settings.OperatorKey{
-			{Name: "anna", PublicKey: base64.StdEncoding.EncodeToString(f.publicKey)},
-		}},
-		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8192, MaxConnections: 1000, MaxConnectionsPerIP: 1000, StreamIdleMillis: 10000, ConnectTimeoutMillis: 1000},
-		Drain:  settings.Drain{EntriesTTLMillis: int(entriesTTL.Milliseconds()), LongestRequestMillis: 20000},
-	}
+	s := f.Settings(id, failureDomains[len(f.entries)%len(failureDomains)])
 	must.NoError(f.t, s.Validate())
-	in, err := instance.New(s, []byte("0123456789abcdef0123456789abcdef"))
+	in, err := instance.New(s, []byte(SharedKey))
 	must.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{Callers: s.Listen.Callers, Admin: s.Listen.Metrics, cancel: cancel, done: make(chan error, 1)}
 	go func() { e.done <- in.Run(ctx) }()
-	f.list(platform.Instance{ID: id, Address: s.Listen.Callers, ControlAddress: s.Listen.Peers, Role: platform.RoleEntry, FailureDomain: failureDomain, State: platform.InstanceLive})
+	f.ListEntry(s)
 	f.entries[id] = e
-	f.awaitReady(e)
+	f.AwaitReady(e.Callers)
 	for _, other := range f.entries {
 		f.awaitEntries(other)
 	}
 	return e
 }
 
+// Settings returns the settings of an entry instance of this fleet at free
+// addresses.
+func (f *Fleet) Settings(id, failureDomain string) *settings.Entry {
+	return &settings.Entry{
+		Instance: id, FailureDomain: failureDomain, Region: "windhoek",
+		Listen:   settings.Listen{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Metrics: freeAddress(f.t)},
+		Platform: settings.Platform{Log: f.address, Instances: f.address, Ratings: f.address, Weights: f.address},
+		Keys: settings.Keys{SharedKeyFile: "unused", Operators: []settings.OperatorKey{
+			{Name: "anna", PublicKey: base64.StdEncoding.EncodeToString(f.publicKey)},
+		}},
+		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 8192, MaxConnections: 1000, MaxConnectionsPerIP: 1000, StreamIdleMillis: 10000, ConnectTimeoutMillis: 1000},
+		Drain:  settings.Drain{EntriesTTLMillis: int(entriesTTL.Milliseconds()), LongestRequestMillis: 20000},
+	}
+}
+
+// ListEntry shows an entry instance in the platform's list.
+func (f *Fleet) ListEntry(s *settings.Entry) {
+	f.list(platform.Instance{
+		ID: s.Instance, Address: s.Listen.Callers, ControlAddress: s.Listen.Peers, Role: platform.RoleEntry,
+		FailureDomain: s.FailureDomain, State: platform.InstanceLive,
+	})
+}
+
 // awaitEntries waits until the instance names all others in its answer.
 func (f *Fleet) awaitEntries(e *Entry) {
 	f.t.Helper()
@@ -201,17 +217,18 @@
 	}
 }
 
-// awaitReady waits until the instance answers a request of each kind.
-func (f *Fleet) awaitReady(e *Entry) {
+// AwaitReady waits until the instance at a callers' address answers a request
+// of each kind.
+func (f *Fleet) AwaitReady(address string) {
 	f.t.Helper()
 	deadline := time.Now().Add(startLimit)
 	for {
-		chat, chatErr := Call(e.Callers, fasthttp.MethodPost, "/v1/chat/completions", ChatBody(false), "")
-		read, readErr := Call(e.Callers, fasthttp.MethodGet, "/v1/services/ledger/bookings/none", "", "")
+		chat, chatErr := Call(address, fasthttp.MethodPost, "/v1/chat/completions", ChatBody(false), "")
+		read, readErr := Call(address, fasthttp.MethodGet, "/v1/services/ledger/bookings/none", "", "")
 		if chatErr == nil && readErr == nil && chat.Status == fasthttp.StatusOK && read.Status == fasthttp.StatusNotFound {
 			return
 		}
-		must.True(f.t, time.Now().Before(deadline))
+		must.True(f.t, time.Now().Before(deadline), must.Sprintf("chat %+v %v, service %+v %v", chat, chatErr, read, readErr))
 		time.Sleep(20 * time.Millisecond)
 	}
 }
@@ -238,9 +255,10 @@
 
 // Reply is what a caller saw.
 type Reply struct {
-	Status  int
-	Body    string
-	Version string
+	Status    int
+	Body      string
+	Version   string
+	RequestID string
 }
 
 // ChatBody returns the body of a chat request.
@@ -272,5 +290,5 @@
 	if err := callerClient.DoTimeout(req, resp, startLimit); err != nil {
 		return nil, err
 	}
-	return &Reply{Status: resp.StatusCode(), Body: string(resp.Body()), Version: string(resp.Header.Peek("X-Medlarslip-Version"))}, nil
+	return &Reply{Status: resp.StatusCode(), Body: string(resp.Body()), Version: string(resp.Header.Peek("X-Medlarslip-Version")), RequestID: string(resp.Header.Peek("X-Request-Id"))}, nil
 }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -78,9 +78,10 @@
 		return
 	}
 	from := conn.ConnectionState().PeerCertificates[0].Subject.CommonName
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	answer := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		return s.answer(ctx, from, req)
-	}))
+	})
+	handler := jsonrpc2.AsyncHandler(answer.SuppressErrClosed())
 	session := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{}), handler)
 	s.track(session, true)
 	<-session.DisconnectNotify()
--- /dev/null
+++ b/test/processes/entries_test.go
@@ -0,0 +1,87 @@
+// Package processes_test runs entry instances as processes of their own, kills
+// and freezes them under load, and compares what callers were told with the
+// records of the stand-ins.
+package processes_test
+
+import (
+	"encoding/base64"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/protocol/settings"
+	"medlarslip/internal/standin/localfleet"
+)
+
+// entryProcess is an entry instance that is started again under the same name.
+type entryProcess struct {
+	t        *testing.T
+	binary   string
+	settings *settings.Entry
+	file     string
+	command  *exec.Cmd
+}
+
+func buildEntry(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "medlarslip-entry")
+	build := exec.Command("go", "build", "-o", binary, "medlarslip/cmd/medlarslip-entry")
+	output, err := build.CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	return binary
+}
+
+func newEntryProcess(t *testing.T, fleet *localfleet.Fleet, binary, id, failureDomain string) *entryProcess {
+	t.Helper()
+	dir := t.TempDir()
+	s := fleet.Settings(id, failureDomain)
+	s.Keys.SharedKeyFile = filepath.Join(dir, "shared.key")
+	key := base64.StdEncoding.EncodeToString([]byte(localfleet.SharedKey))
+	must.NoError(t, os.WriteFile(s.Keys.SharedKeyFile, []byte(key), 0o600))
+	text, err := yaml.Marshal(s)
+	must.NoError(t, err)
+	e := &entryProcess{t: t, binary: binary, settings: s, file: filepath.Join(dir, "entry.yaml")}
+	must.NoError(t, os.WriteFile(e.file, text, 0o600))
+	fleet.ListEntry(s)
+	t.Cleanup(e.kill)
+	return e
+}
+
+func (e *entryProcess) start() {
+	e.t.Helper()
+	e.command = exec.Command(e.binary, "-settings", e.file)
+	e.command.Stderr = e.t.Output()
+	must.NoError(e.t, e.command.Start())
+}
+
+// kill ends the process at once, whatever it is doing.
+func (e *entryProcess) kill() {
+	if e.command == nil {
+		return
+	}
+	_ = e.command.Process.Kill()
+	_ = e.command.Wait()
+	e.command = nil
+}
+
+// freeze stops the process where it is; thaw lets it go on from there.
+func (e *entryProcess) freeze() { e.signal(syscall.SIGSTOP) }
+func (e *entryProcess) thaw()   { e.signal(syscall.SIGCONT) }
+
+// stop carries out a planned stop, which must end with exit code 0.
+func (e *entryProcess) stop() {
+	e.t.Helper()
+	e.signal(syscall.SIGTERM)
+	must.NoError(e.t, e.command.Wait())
+	e.command = nil
+}
+
+func (e *entryProcess) signal(signal syscall.Signal) {
+	e.t.Helper()
+	must.NoError(e.t, e.command.Process.Signal(signal))
+}
