--- a/internal/coordination/billing/billing.go
+++ b/internal/coordination/billing/billing.go
@@ -20,11 +20,14 @@
 )
 
 const (
-	flushInterval = time.Second
-	maxBatch      = 500 // bills of one append
-	appendTimeout = 5 * time.Second
-	finishWait    = time.Minute
-	maxBackOff    = 10 * time.Second
+	// flushPerInstance is the time between two appends of one instance for
+	// each instance of the fleet: 40 appends a second from all of them.
+	flushPerInstance = 25 * time.Millisecond
+	flushInterval    = time.Second // shortest time between two appends
+	maxBatch         = 500         // bills of one append
+	appendTimeout    = 5 * time.Second
+	finishWait       = time.Minute
+	maxBackOff       = 10 * time.Second
 	// MaxPendingBytes is the size of own bills at which new requests are
 	// refused; an hour of 11 requests a second takes half of it.
 	MaxPendingBytes = 24 << 20
@@ -46,6 +49,8 @@
 	// Appended tells the holders up to which sequence number the log has the
 	// bills.
 	Appended(ctx context.Context, through uint64)
+	// Instances returns the number of live entry instances.
+	Instances() int
 }
 
 // Writer gathers bills and appends them in batches. It is safe for concurrent
@@ -63,6 +68,8 @@
 	// appended is closed and replaced after each batch.
 	appended chan struct{}
 	through  uint64
+	// urgent asks for an append at once.
+	urgent chan struct{}
 }
 
 type pendingBill struct {
@@ -78,6 +85,7 @@
 		copier:   newGatherer(copier),
 		holder:   copier,
 		appended: make(chan struct{}),
+		urgent:   make(chan struct{}, 1),
 	}
 }
 
@@ -102,6 +110,10 @@
 	if w.copier.copy(ctx, *bill) == nil {
 		return
 	}
+	select {
+	case w.urgent <- struct{}{}:
+	default:
+	}
 	if !w.awaitAppended(ctx, sequence) {
 		uncopiedBills.Add(1)
 	}
@@ -152,23 +164,37 @@
 	defer ticker.Stop()
 	pause := outageBackOff()
 	var until time.Time
+	failing := false
+	flush := func() {
+		until = time.Now().Add(w.interval())
+		failing = w.Flush(ctx) != nil
+		if failing {
+			until = time.Now().Add(pause.NextBackOff())
+			return
+		}
+		pause.Reset()
+	}
 	for {
 		select {
-		case <-ticker.C:
-			if time.Now().Before(until) {
-				continue
+		case <-w.urgent:
+			if !failing {
+				flush()
 			}
-			if err := w.Flush(ctx); err != nil {
-				until = time.Now().Add(pause.NextBackOff())
-				continue
+		case <-ticker.C:
+			if !time.Now().Before(until) {
+				flush()
 			}
-			pause.Reset()
 		case <-ctx.Done():
 			return w.finish()
 		}
 	}
 }
 
+// interval returns the time between two appends.
+func (w *Writer) interval() time.Duration {
+	return max(flushInterval, time.Duration(w.holder.Instances())*flushPerInstance)
+}
+
 func outageBackOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = flushInterval
--- a/internal/coordination/billing/mirror.go
+++ b/internal/coordination/billing/mirror.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// Instances implements Copier.
+func (m *Mirror) Instances() int { return len(m.fleet.EntryInstances()) }
+
 // Run tells the holder that this instance lives, and finds another where it
 // does not answer or has left, until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
--- a/internal/coordination/claims/bench_test.go
+++ b/internal/coordination/claims/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,11 +123,18 @@
 	coordinator := claims.New(log, nil, func(int) bool { return false }, "entry-1", "first")
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	b.ReportAllocs()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	b.ResetTimer()
 	go func() { _ = coordinator.Run(ctx) }()
 	for coordinator.Position() < int64(2*b.N) {
 		time.Sleep(100 * time.Microsecond)
 	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "heapbytes/key")
+	runtime.KeepAlive(coordinator)
 	b.ReportMetric(float64(total)/float64(b.N), "logbytes/booking")
 }
--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -37,6 +37,9 @@
 	retryAfter = time.Second
 	// maxKeptBytes bounds the answer kept for repeats.
 	maxKeptBytes = 16 << 10
+	// MaxKeys bounds the keys kept, at about 560 bytes each; at the bound, new
+	// keys are refused and none is forgotten.
+	MaxKeys = 100_000
 	// callSlack is added to the life of a call before others look after it.
 	callSlack = 2 * lease
 )
@@ -79,6 +82,7 @@
 	next     atomic.Int64
 	oldest   atomic.Int64
 	ready    atomic.Bool
+	kept     atomic.Int64 // keys at the last sweep
 	gapAt    atomic.Int64 // nanoseconds of the wall clock of this instance
 	outage   outage
 	shards   [ShardCount]*shard
--- a/internal/coordination/claims/request.go
+++ b/internal/coordination/claims/request.go
@@ -79,6 +79,10 @@
 		return refusal.NewUnknown(refusal.KindKeyExpired, "the key is older than the window in which keys are kept", "read at the service whether the call took effect; use a new key for a new call")
 	case !r.c.complete(r.shard):
 		return notKnown("this instance has not read all claims of the window")
+	case r.c.kept.Load() >= MaxKeys:
+		refused := notKnown("as many keys are kept as this system bears")
+		refused.Kind = refusal.KindOverloaded
+		return refused
 	case r.c.outage.refuses(now):
 		return notKnown("the log takes no claims")
 	}
--- a/internal/coordination/claims/snapshot.go
+++ b/internal/coordination/claims/snapshot.go
@@ -53,6 +53,7 @@
 		}
 	}
 	keptKeys.Set(int64(kept))
+	c.kept.Store(int64(kept))
 }
 
 // sweep appends the older half of the stream's claims of a shard again once
