--- a/internal/coordination/configuration/spread.go
+++ b/internal/coordination/configuration/spread.go
@@ -25,8 +25,11 @@
 	neighbours = 6
 	// strangerShare is the share of exchanges, one in so many, with any peer.
 	strangerShare = 16
+	// substitutes is the number of peers that are asked in the place of one
+	// that did not answer.
+	substitutes = 2
 	// exchangeTimeout bounds one call.
-	exchangeTimeout = time.Second
+	exchangeTimeout = 500 * time.Millisecond
 )
 
 var (
@@ -133,7 +136,8 @@
 	return group.Wait()
 }
 
-// Pull exchanges with one neighbour, or now and then with any peer.
+// Pull exchanges with one neighbour, or now and then with any peer. Where that
+// one does not answer, a few others are asked at once.
 func (s *Spread) Pull(ctx context.Context) {
 	addresses := s.peers.PeerAddresses()
 	if len(addresses) == 0 {
@@ -142,7 +146,9 @@
 	if s.draw(strangerShare) != 0 {
 		addresses = s.neighbours(addresses)
 	}
-	s.exchange(ctx, addresses[s.draw(len(addresses))])
+	if !s.exchange(ctx, addresses[s.draw(len(addresses))]) {
+		_ = s.exchangeAll(ctx, s.some(substitutes))
+	}
 }
 
 // neighbours returns the same few of the given addresses each time, chosen by
@@ -162,8 +168,9 @@
 }
 
 // exchange brings this instance and one peer to the newer of their documents.
-// A peer that turns out to be behind is sent the document in a second call.
-func (s *Spread) exchange(ctx context.Context, address string) {
+// A peer that turns out to be behind is sent the document in a second call. It
+// reports whether the peer answered.
+func (s *Spread) exchange(ctx context.Context, address string) bool {
 	exchanges.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -171,16 +178,17 @@
 	answer, err := s.caller.Exchange(ctx, address, &Exchange{Digest: mine})
 	if err != nil {
 		exchangeErrors.Add(1)
-		return
+		return false
 	}
 	s.take(answer)
 	if answer.Digest.Number >= mine.Number {
-		return
+		return true
 	}
-	question := s.message(answer.Digest.Number)
-	if _, err := s.caller.Exchange(ctx, address, question); err != nil {
+	if _, err := s.caller.Exchange(ctx, address, s.message(answer.Digest.Number)); err != nil {
 		exchangeErrors.Add(1)
+		return false
 	}
+	return true
 }
 
 // Answer answers the exchange of a peer.
--- /dev/null
+++ b/internal/coordination/configuration/spread_test.go
@@ -0,0 +1,281 @@
+package configuration_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/protocol/signed"
+)
+
+// measure asks for the measurements at all fleet sizes.
+var measure = flag.Bool("measure", false, "measure spread at all fleet sizes and print the table")
+
+const (
+	oneWay = 500 * time.Microsecond // delay of a message in virtual time
+	// callOverhead is what one call costs beside the JSON of question and
+	// answer: envelopes of jsonrpc2, lengths and TLS records, in bytes.
+	callOverhead = 200
+	documentSize = 10 << 10 // bytes of a document of the measurements
+)
+
+// fabric connects instances in virtual time and counts their bytes.
+type fabric struct {
+	names   []string
+	spreads map[string]*configuration.Spread
+	stores  []*configuration.Store
+
+	mu     sync.Mutex
+	random *rand.Rand
+	loss   float64
+	cut    func(from, to string) bool
+	bytes  int64
+}
+
+// endpoint is the fabric as one instance sees it.
+type endpoint struct {
+	*fabric
+	self string
+}
+
+// PeerAddresses implements configuration.Peers.
+func (e endpoint) PeerAddresses() []string {
+	others := make([]string, 0, len(e.names))
+	for _, name := range e.names {
+		if name != e.self {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// Exchange implements configuration.Caller.
+func (e endpoint) Exchange(_ context.Context, address string, question *configuration.Exchange) (*configuration.Exchange, error) {
+	time.Sleep(oneWay)
+	if e.cut(e.self, address) || e.lost() {
+		return nil, errCut
+	}
+	answer := e.spreads[address].Answer(question)
+	time.Sleep(oneWay)
+	e.count(question, answer)
+	return answer, nil
+}
+
+func (f *fabric) lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < f.loss
+}
+
+func (f *fabric) count(question, answer *configuration.Exchange) {
+	there, _ := json.Marshal(question)
+	back, _ := json.Marshal(answer)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bytes += int64(len(there) + len(back) + callOverhead)
+}
+
+// taken returns the bytes counted since the last call, for each instance.
+func (f *fabric) taken() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := f.bytes
+	f.bytes = 0
+	return total / int64(len(f.names))
+}
+
+func newFabric(size int) *fabric {
+	f := &fabric{spreads: map[string]*configuration.Spread{}, random: rand.New(rand.NewPCG(1, 2)), cut: func(string, string) bool { return false }}
+	for i := range size {
+		name := fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250)
+		store := configuration.NewStore(keysOf("anna"))
+		f.names = append(f.names, name)
+		f.stores = append(f.stores, store)
+		end := endpoint{fabric: f, self: name}
+		f.spreads[name] = configuration.NewSpread(name, "1", store, end, end)
+	}
+	return f
+}
+
+// run starts all instances; the returned function ends them.
+func (f *fabric) run(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, spread := range f.spreads {
+		running.Go(func() { _ = spread.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// behind returns how many instances have not a document in force.
+func (f *fabric) behind(number int64) int {
+	count := 0
+	for _, store := range f.stores {
+		if store.Digest().Number < number {
+			count++
+		}
+	}
+	return count
+}
+
+// untilAll waits until all have a document in force and returns how long that
+// took, at most limit.
+func (f *fabric) untilAll(number int64, limit time.Duration) time.Duration {
+	start := time.Now()
+	for f.behind(number) > 0 && time.Since(start) < limit {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func TestOneInstanceThatReadsTheLogBringsAllUpToDate(t *testing.T) {
+	cases := []struct {
+		name string
+		loss float64
+	}{{"all calls arrive", 0}, {"two calls in five are lost", 0.4}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				docs := chain(t, 2)
+				f := newFabric(48)
+				f.loss = tc.loss
+				defer f.run(t)()
+				for i, doc := range docs {
+					must.NoError(t, f.stores[0].ApplyFromPeer(doc))
+					must.Less(t, 3*time.Second, f.untilAll(int64(i+1), time.Minute))
+				}
+			})
+		})
+	}
+}
+
+func TestRegionsApartForAnHourAgreeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		docs := chain(t, 3)
+		f := newFabric(12)
+		left := func(name string) bool { return slices.Contains(f.names[:6], name) }
+		must.NoError(t, f.stores[0].ApplyFromPeer(docs[0]))
+		defer f.run(t)()
+		f.untilAll(1, time.Minute)
+		f.mu.Lock()
+		f.cut = func(from, to string) bool { return left(from) != left(to) }
+		f.mu.Unlock()
+		must.NoError(t, f.stores[0].ApplyFromPeer(docs[1]))
+		must.NoError(t, f.stores[0].ApplyFromPeer(docs[2]))
+		time.Sleep(time.Hour)
+		must.Eq(t, 6, f.behind(3))
+		must.Zero(t, f.behind(1))
+		f.mu.Lock()
+		f.cut = func(string, string) bool { return false }
+		f.mu.Unlock()
+		must.Less(t, 14*time.Second, f.untilAll(3, time.Minute))
+	})
+}
+
+// figures are the results of one measurement.
+type figures struct {
+	converged time.Duration
+	idle      int64 // bytes a second sent by an instance without a change
+	change    int64 // bytes sent by an instance for one change
+}
+
+const idleSeconds = 60
+
+func measureSpread(t *testing.T, size int, docs []*signed.Envelope) (result figures) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric(size)
+		defer f.run(t)()
+		must.NoError(t, f.stores[0].ApplyFromPeer(docs[0]))
+		f.untilAll(1, time.Minute)
+		time.Sleep(time.Second)
+		f.taken()
+		time.Sleep(idleSeconds * time.Second)
+		result.idle = f.taken() / idleSeconds
+		must.NoError(t, f.stores[0].ApplyFromPeer(docs[1]))
+		result.converged = f.untilAll(2, time.Minute)
+		result.change = f.taken()
+	})
+	return result
+}
+
+// measurePolling measures the naive way: each instance asks all others for
+// their whole document at the same interval.
+func measurePolling(t *testing.T, size int, docs []*signed.Envelope) (result figures) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFabric(size)
+		for _, store := range f.stores {
+			must.NoError(t, store.ApplyFromPeer(docs[0]))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for i := range size {
+			running.Go(func() { f.poll(ctx, i) })
+		}
+		time.Sleep(3 * configuration.PullInterval)
+		result.idle = f.taken() / 3
+		must.NoError(t, f.stores[0].ApplyFromPeer(docs[1]))
+		result.converged = f.untilAll(2, time.Minute)
+		result.change = f.taken()
+		cancel()
+		running.Wait()
+	})
+	return result
+}
+
+func (f *fabric) poll(ctx context.Context, self int) {
+	f.mu.Lock()
+	offset := time.Duration(f.random.Int64N(int64(configuration.PullInterval)))
+	f.mu.Unlock()
+	time.Sleep(offset)
+	for ctx.Err() == nil {
+		for other, store := range f.stores {
+			current := store.Current()
+			if other == self {
+				continue
+			}
+			if f.stores[self].Current().Envelope.Number < current.Envelope.Number {
+				_ = f.stores[self].ApplyFromPeer(&current.Envelope)
+			}
+			f.mu.Lock()
+			f.bytes += int64(len(current.Envelope.Document) + len(current.Envelope.Reason) + callOverhead)
+			f.mu.Unlock()
+		}
+		time.Sleep(configuration.PullInterval)
+	}
+}
+
+// TestMeasureSpread prints convergence and bytes by fleet size beside the
+// naive way. Without -measure it runs the smallest size only.
+func TestMeasureSpread(t *testing.T) {
+	sizes := []int{9}
+	if *measure {
+		sizes = []int{9, 50, 200, 410}
+	}
+	docs := chain(t, 2)
+	docs[1].Reason = strings.Repeat("r", documentSize)
+	must.NoError(t, signed.Sign(docs[1], operatorKey("anna")))
+	docs[0].Reason = docs[1].Reason
+	must.NoError(t, signed.Sign(docs[0], operatorKey("anna")))
+	t.Log("| instances | way | in force everywhere after | bytes/s sent by an instance, idle | bytes sent by an instance for a change |")
+	for _, size := range sizes {
+		spread, polling := measureSpread(t, size, docs), measurePolling(t, size, docs)
+		t.Logf("| %d | exchange | %v | %d | %d |", size, spread.converged, spread.idle, spread.change)
+		t.Logf("| %d | polling all | %v | %d | %d |", size, polling.converged, polling.idle, polling.change)
+		must.Less(t, polling.idle, spread.idle)
+		must.Less(t, 3*time.Second, spread.converged)
+	}
+}
