--- a/internal/coordination/configuration/spread_test.go
+++ b/internal/coordination/configuration/spread_test.go
@@ -63,7 +63,7 @@
 // Exchange implements configuration.Caller.
 func (e endpoint) Exchange(_ context.Context, address string, question *configuration.Exchange) (*configuration.Exchange, error) {
 	time.Sleep(oneWay)
-	if e.cut(e.self, address) || e.lost() {
+	if e.lost(address) {
 		return nil, errCut
 	}
 	answer := e.spreads[address].Answer(question)
@@ -72,10 +72,11 @@
 	return answer, nil
 }
 
-func (f *fabric) lost() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.Float64() < f.loss
+// lost reports whether a call does not arrive.
+func (e endpoint) lost(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cut(e.self, address) || e.random.Float64() < e.loss
 }
 
 func (f *fabric) count(question, answer *configuration.Exchange) {
--- a/internal/instance/configuration.go
+++ b/internal/instance/configuration.go
@@ -35,17 +35,25 @@
 	return nil
 }
 
-// PeerAddresses implements configuration.Peers. The members are added after
-// the configuration.
-func (a *assembly) PeerAddresses() []string { return a.members.PeerAddresses() }
+// PeerAddresses implements configuration.Peers. There are none before the
+// members are added.
+func (a *assembly) PeerAddresses() []string {
+	addresses := []string{}
+	if a.members == nil {
+		return addresses
+	}
+	for _, instance := range a.members.EntryInstances() {
+		if instance.ID != a.settings.Instance && instance.ControlAddress != "" {
+			addresses = append(addresses, instance.ControlAddress)
+		}
+	}
+	return addresses
+}
 
 // fleetSize returns the number of entry instances, or 0 as long as none but
 // this one is known.
 func (a *assembly) fleetSize() int {
-	if a.members == nil {
-		return 0
-	}
-	others := len(a.members.PeerAddresses())
+	others := len(a.PeerAddresses())
 	if others == 0 {
 		return 0
 	}
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -39,6 +39,9 @@
 	// FaultHold lets a call take effect and holds its answer until Release or
 	// the end of the caller's context.
 	FaultHold
+	// FaultDelay lets an append take effect only after DelayBy, long after
+	// its writer was told that the answer was lost.
+	FaultDelay
 )
 
 // ErrGarbage marks the errors that a service over HTTP turns into an answer
@@ -47,6 +50,9 @@
 
 // Service is an in-memory log service. It implements eventlog.Log.
 type Service struct {
+	// DelayBy is the wait of FaultDelay; set it before the first append.
+	DelayBy time.Duration
+
 	mu      sync.Mutex
 	streams map[string]*stream
 	keep    int
@@ -134,6 +140,9 @@
 	switch fault {
 	case FaultRefuse, FaultLoseRequest, FaultServerError:
 		return 0, fault
+	case FaultDelay:
+		time.AfterFunc(s.DelayBy, func() { s.appendLate(name, records) })
+		return 0, fault
 	}
 	first := s.appendLocked(name, records)
 	if fault == FaultDuplicate {
@@ -151,6 +160,12 @@
 	}
 }
 
+func (s *Service) appendLate(name string, records []json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendLocked(name, records)
+}
+
 func (s *Service) appendLocked(name string, records []json.RawMessage) int64 {
 	st := s.streamLocked(name)
 	first := st.next()
--- a/internal/transport/callerapi/chat.go
+++ b/internal/transport/callerapi/chat.go
@@ -60,9 +60,11 @@
 	if err := json.Unmarshal(body, &call.Body); err != nil {
 		return nil, badBody(err)
 	}
-	if err := json.Unmarshal(body, &call.Request); err != nil {
+	request, err := openai.ParseChatRequest(call.Body)
+	if err != nil {
 		return nil, badBody(err)
 	}
+	call.Request = request
 	if call.Request.Model == "" {
 		return nil, refusal.New(refusal.KindBadRequest, "field model is missing", "name a model that GET /v1/models lists")
 	}
@@ -90,12 +92,21 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer recoverStream(call.RequestID)
 		defer stream.Close()
 		relay(w, stream)
 	})
 	return nil
 }
 
+// recoverStream keeps a fault in one stream from ending the process; the
+// caller misses the end mark.
+func recoverStream(requestID string) {
+	if fault := recover(); fault != nil {
+		logFault(requestID, fault)
+	}
+}
+
 // relay passes a stream on, one event at a time. A failed write means that
 // the caller went away.
 func relay(w *bufio.Writer, stream *dispatch.ChatStream) {
