--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -29,9 +29,6 @@
 	// FaultLoseRequest loses an append before its effect, in such a way that
 	// the writer can't know.
 	FaultLoseRequest
-	// FaultDelay lets an append take effect only after DelayBy, long after
-	// its writer was told that the answer was lost.
-	FaultDelay
 	// FaultDuplicate lets an append take effect twice.
 	FaultDuplicate
 	// FaultGarbage lets a call take effect and answers with garbage.
@@ -42,6 +39,9 @@
 	// FaultHold lets a call take effect and holds its answer until Release or
 	// the end of the caller's context.
 	FaultHold
+	// FaultDelay lets an append take effect only after DelayBy, long after
+	// its writer was told that the answer was lost.
+	FaultDelay
 )
 
 // ErrGarbage marks the errors that a service over HTTP turns into an answer
