Tell what comes and goes in a list, and prefill no number

A client account with many versions or keys was described by both whole lists, in which one entry more is easily missed; the description names the entries that come and go. An empty list is told as (none): a list whose one entry is called none read like an empty one before, so that the change was invisible; the case "forbid a service called none" failed with that. Numbers of a new item start empty, since a quality target of 0 that nobody typed would pass.

--- a/internal/protocol/document/changes.go
+++ b/internal/protocol/document/changes.go
@@ -23,6 +23,27 @@
 	Label  string
 	Before string
 	After  string
+	// Added and Removed are set for a list whose entries changed.
+	Added   []string
+	Removed []string
+}
+
+// isList reports whether the detail tells single entries of a list.
+func (d Detail) isList() bool { return len(d.Added)+len(d.Removed) > 0 }
+
+// words tells the change in one clause.
+func (d Detail) words() string {
+	if !d.isList() {
+		return d.Label + " from " + d.Before + " to " + d.After
+	}
+	var clauses []string
+	if len(d.Added) > 0 {
+		clauses = append(clauses, "adds "+strings.Join(d.Added, ", "))
+	}
+	if len(d.Removed) > 0 {
+		clauses = append(clauses, "removes "+strings.Join(d.Removed, ", "))
+	}
+	return d.Label + ": " + strings.Join(clauses, " and ")
 }
 
 // Change describes what a new document makes of one item.
@@ -39,6 +60,20 @@
 	Warnings []string
 }
 
+// maxPlainSummary is the length of a sentence that is read at a glance.
+const maxPlainSummary = 150
+
+// Table returns the details that the summary does not tell as clearly.
+func (c Change) Table() []Detail {
+	if c.Kind != ChangeEdited || len(c.Details) != 1 {
+		return c.Details
+	}
+	if len(c.Summary) > maxPlainSummary {
+		return c.Details
+	}
+	return nil
+}
+
 // Server is a backend server that is alive; what is left to serve a version
 // after a change is judged by these.
 type Server struct {
@@ -137,12 +172,23 @@
 	change := Change{Section: after.Section, Name: after.Name, Kind: ChangeEdited}
 	for i, property := range after.Properties {
 		if old := before.Properties[i].Value; old != property.Value {
-			change.Details = append(change.Details, Detail{Label: property.Label, Before: old, After: property.Value})
+			change.Details = append(change.Details, newDetail(property, old))
 		}
 	}
 	return change, len(change.Details) > 0
 }
 
+// newDetail describes a changed field. Of a list, only the entries that come
+// and go are told, so that an operator sees them among many.
+func newDetail(property Property, old string) Detail {
+	detail := Detail{Label: property.Label, Before: old, After: property.Value}
+	if listProperties[property.Key] {
+		before, after := splitList(old), splitList(property.Value)
+		detail.Added, detail.Removed = missing(after, before), missing(before, after)
+	}
+	return detail
+}
+
 func oneSided(item *Item, added bool) []Detail {
 	details := make([]Detail, 0, len(item.Properties))
 	for _, property := range item.Properties {
@@ -175,7 +221,7 @@
 	}
 	labels := make([]string, 0, len(change.Details))
 	for _, detail := range change.Details {
-		labels = append(labels, detail.Label+" from "+detail.Before+" to "+detail.After)
+		labels = append(labels, detail.words())
 	}
 	return subject + " changes: " + strings.Join(labels, "; ") + "."
 }
--- a/internal/protocol/document/changes_test.go
+++ b/internal/protocol/document/changes_test.go
@@ -73,6 +73,18 @@
 			d.ClientAccounts[0].AllowedServices = nil
 			d.ClientAccounts[0].KeyHashes = nil
 		}, []string{"may no longer use large-1", "may no longer call ledger", "who use 1 removed key are refused"}},
+		{"allow and forbid", func(d *document.Document) {
+			d.ClientAccounts[0].AllowedVersions = []string{"large-1", "small-2", "tiny-1"}
+		}, []string{"Client account technicians changes: allowed versions: adds tiny-1 and removes small-1."}},
+		{"reorder allowed versions", func(d *document.Document) {
+			d.ClientAccounts[0].AllowedVersions = []string{"small-2", "small-1", "large-1"}
+		}, []string{"allowed versions from small-1, small-2, large-1 to small-2, small-1, large-1"}},
+		{"change which calls may be repeated", func(d *document.Document) { d.PlainServices[0].NonIdempotent[0].PathPrefix = "/book,ings" }, []string{
+			"calls that run at most once: adds POST /book,ings and removes POST /bookings",
+		}},
+		{"forbid a service called none", func(d *document.Document) { d.ClientAccounts[0].AllowedServices = []string{"none"} }, []string{
+			"allowed plain services: adds none and removes ledger",
+		}},
 		{"remove an account", func(d *document.Document) { d.ClientAccounts = nil }, []string{"Every request of client account technicians is refused"}},
 		{"let calls be repeated", func(d *document.Document) { d.PlainServices[0].NonIdempotent = nil }, []string{
 			"Calls POST /bookings of ledger are no longer kept from running twice",
--- a/internal/protocol/document/items.go
+++ b/internal/protocol/document/items.go
@@ -232,11 +232,29 @@
 	return fmt.Sprintf("%d ms (%s)", n, time.Duration(n)*time.Millisecond)
 }
 
-func list(values []string) string { return orNone(strings.Join(values, ", ")) }
+func list(values []string) string { return orNone(strings.Join(values, listSeparator)) }
+
+// listProperties are the keys of fields that hold a list without an order.
+var listProperties = map[string]bool{
+	"key_hashes": true, "allowed_versions": true, "allowed_services": true, "non_idempotent": true,
+}
+
+const (
+	listSeparator = ", "     // no entry of a list holds a space after a comma
+	noEntry       = "(none)" // no name and no path reads like this
+)
+
+// splitList returns the entries of a described list.
+func splitList(value string) []string {
+	if value == noEntry {
+		return nil
+	}
+	return strings.Split(value, listSeparator)
+}
 
 func orNone(s string) string {
 	if s == "" {
-		return "none"
+		return noEntry
 	}
 	return s
 }
--- a/internal/transport/console/forms_test.go
+++ b/internal/transport/console/forms_test.go
@@ -236,6 +236,14 @@
 	}
 }
 
+func TestNothingIsChosenInPlaceOfTheOperator(t *testing.T) {
+	b := newTestFleet(t).signIn()
+	got := b.get("/item?of=cascades").body
+	mustContain(t, got, `name="quality_target" type="text" value=""`)
+	got = b.get("/item?of=rollouts").body
+	mustContain(t, got, `<option value="" selected>choose one</option><option value="small-1">`)
+}
+
 func FuzzForm(f *testing.F) {
 	for _, tc := range formCases() {
 		f.Add(tc.of, tc.item, strings.ReplaceAll(tc.form, " ", "&"))
--- a/internal/transport/console/sections.go
+++ b/internal/transport/console/sections.go
@@ -113,7 +113,13 @@
 func (s *section) formFields(doc *document.Document, name string) []field {
 	fields := s.fields(doc, name)
 	for i := range fields {
-		fields[i].mark()
+		f := &fields[i]
+		isNumber := f.Kind == inputNumber || f.Kind == inputDecimal
+		// No number is entered in place of the operator.
+		if name == "" && isNumber && f.Value() == "0" {
+			f.Values = nil
+		}
+		f.mark()
 	}
 	return fields
 }
