--- a/internal/coordination/dispatch/chat.go
+++ b/internal/coordination/dispatch/chat.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/session"
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/openai"
-	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/protocol/refusal"
-	"medlarslip/internal/state/requests"
 )
 
 // ChatCall is one chat completion request of an authenticated caller.
@@ -31,11 +29,26 @@
 	SessionToken string
 }
 
+// Quality says what is known of an answer against the quality target.
+type Quality string
+
+const (
+	// QualityMet means that the rating meets the target, or that the request
+	// named one version and so has no target.
+	QualityMet Quality = "met"
+	// QualityUnrated means that the answer was not rated.
+	QualityUnrated Quality = "unrated"
+	// QualityBelowTarget means that even the strongest allowed version was
+	// rated below the target; the answer is the best that was rated.
+	QualityBelowTarget Quality = "below_target"
+)
+
 // ChatResult is a whole answer.
 type ChatResult struct {
 	Body         []byte
 	VersionID    string
 	SessionToken string
+	Quality      Quality
 }
 
 // Results of a step.
@@ -46,156 +59,108 @@
 	stepFailed      = "failed"
 )
 
-// ratingTimeout bounds the wait for one rating.
-const ratingTimeout = 2 * time.Second
-
-// Chat answers a request as a whole.
+// Chat answers a request as a whole. Each step is tried only while the time
+// that it is expected to take is left; otherwise the request is refused at
+// once. Where every allowed step was rated below the target the best answer is
+// given and marked so, since asking again could bring nothing better.
 func (r *Router) Chat(ctx context.Context, call *ChatCall) (*ChatResult, *refusal.Refusal) {
-	u := r.newRun(call.RequestID, call.Request.Model, call.Kind.Name, call.Account, call.Config.Index, call.Config.Envelope.Number)
-	plan, token, refused := r.plan(call)
+	u := r.newChatRun(call)
+	plan, token, refused := r.plan(u, call)
 	if refused != nil {
 		return nil, u.refuse(ctx, refused)
 	}
-	deadline, cancel := context.WithTimeout(ctx, time.Duration(call.Kind.TotalMillis)*time.Millisecond)
+	deadline, cancel := context.WithTimeout(ctx, u.remaining())
 	defer cancel()
-	for i, step := range plan.Steps {
-		answer, refused := r.tryStep(deadline, u, call, step)
-		last := i == len(plan.Steps)-1
-		if refused != nil {
-			if last || deadline.Err() != nil {
-				return nil, u.refuse(ctx, refused)
-			}
-			continue
-		}
-		if last || r.goodEnough(deadline, u, call, plan, step, answer) {
-			return r.answer(ctx, u, call, token, step, answer, last)
-		}
+	if refused := r.admit(deadline, u, call.Kind.Priority, plan.Expected(0)); refused != nil {
+		return nil, u.refuse(ctx, refused)
 	}
-	return nil, u.refuse(ctx, refusal.New(refusal.KindInternal, "the plan has no step", "report this to the operators"))
-}
-
-// plan reads the session token and plans the steps.
-func (r *Router) plan(call *ChatCall) (*cascade.Plan, session.Token, *refusal.Refusal) {
-	token := session.Token{Account: call.Account.Name}
-	if call.SessionToken != "" {
-		read, err := r.Sessions.Read(call.SessionToken, call.Account.Name)
-		if err != nil {
-			return nil, token, refusal.New(refusal.KindBadRequest, err.Error(), "leave out the session token to start a new session")
-		}
-		token = read
+	best, refused := r.trySteps(deadline, u, call, plan)
+	if refused != nil {
+		return nil, u.refuse(ctx, refused)
 	}
-	plan, refused := cascade.Make(call.Config.Index, &cascade.Request{
-		Account:   call.Account,
-		Model:     call.Request.Model,
-		RequestID: call.RequestID,
-		Session:   token.Versions,
-		Stream:    call.Request.Stream,
-		Halted:    r.Learner.Halted,
-	})
-	return plan, token, refused
+	return r.answer(ctx, u, token, plan, best)
 }
 
-// tryStep asks servers of one version until one gives a whole answer.
-func (r *Router) tryStep(ctx context.Context, u *run, call *ChatCall, step cascade.Step) (*attempt.Answer, *refusal.Refusal) {
-	var exclude []string
-	lastErr := attempt.ErrNoServer
-	for n := range maxAttempts {
-		server := r.acquire(u, step.VersionID, exclude)
-		if server == nil {
-			break
+// trySteps returns the first answer that may be given or, after the last step,
+// the best that was rated.
+func (r *Router) trySteps(ctx context.Context, u *run, call *ChatCall, plan *cascade.Plan) (*tried, *refusal.Refusal) {
+	var best *tried
+	for i, step := range plan.Steps {
+		if refused := timeFor(u, plan, i); refused != nil {
+			return nil, refused
 		}
-		engineCall := newEngineCall(call, step.VersionID, server.address, n+1)
-		answer, err := r.Engines.Complete(ctx, engineCall)
-		r.release(server, err == nil)
-		u.attempted(resultOf(err))
-		if err == nil {
-			u.mayHaveRun = true
-			return answer, nil
+		t, refused := r.tryStep(ctx, u, call, step)
+		last := i == len(plan.Steps)-1
+		if refused != nil && (last || ctx.Err() != nil) {
+			return nil, refused
 		}
-		u.noteFailure(err)
-		lastErr = err
-		if ctx.Err() != nil || errors.Is(err, attempt.ErrRejected) {
-			break
+		if refused != nil {
+			continue
+		}
+		if r.judge(ctx, u, call, plan, i, t) {
+			return t, nil
+		}
+		if t.rated && (best == nil || t.rating >= best.rating) {
+			best = t
 		}
-		exclude = append(exclude, server.id)
 	}
-	u.stepDone(requests.Step{VersionID: step.VersionID, Rollout: step.Rollout, Result: stepFailed}, 0)
-	r.Learner.Observe(&Sample{Account: call.Account.Name, Kind: call.Kind.Name, Model: step.Model, VersionID: step.VersionID, Rollout: step.Rollout, Failed: !errors.Is(lastErr, attempt.ErrNoServer)})
-	return nil, stepRefusal(ctx, step.VersionID, lastErr)
-}
-
-func newEngineCall(call *ChatCall, versionID, address string, number int) *attempt.EngineCall {
-	return &attempt.EngineCall{
-		Address:   address,
-		VersionID: versionID,
-		AttemptID: fmt.Sprintf("%s-%s-%d", call.RequestID, versionID, number),
-		Priority:  call.Kind.Priority,
-		Body:      call.Body,
+	if best == nil {
+		return nil, refusal.New(refusal.KindInternal, "the plan has no step", "report this to the operators")
 	}
+	return best, nil
 }
 
-func resultOf(err error) string {
-	if err == nil {
-		return outcomeAnswered
+// timeFor refuses a request whose next step is expected to end after the
+// deadline.
+func timeFor(u *run, plan *cascade.Plan, i int) *refusal.Refusal {
+	remaining := u.remaining()
+	if remaining > 0 && remaining >= plan.Expected(i) {
+		return nil
 	}
-	return err.Error()
+	return cascade.ShortOfTime(max(remaining, 0))
 }
 
-// noteFailure remembers whether the engine may have acted.
-func (u *run) noteFailure(err error) {
-	certain := errors.Is(err, attempt.ErrUnreachable) || errors.Is(err, attempt.ErrBusy) || errors.Is(err, attempt.ErrRejected)
-	u.mayHaveRun = u.mayHaveRun || !certain
+// newChatRun returns the run of a chat completion request.
+func (r *Router) newChatRun(call *ChatCall) *run {
+	u := r.newRun(call.RequestID, call.Request.Model, call.Kind.Name, call.Account, call.Config.Index, call.Config.Envelope.Number)
+	u.deadline = u.started.Add(time.Duration(call.Kind.TotalMillis) * time.Millisecond)
+	u.prefixHash = prefixHash(call.Body["messages"])
+	return u
 }
 
-func stepRefusal(ctx context.Context, versionID string, err error) *refusal.Refusal {
-	switch {
-	case ctx.Err() != nil:
-		return refusal.New(refusal.KindDeadline, "the time of this kind of request is over", "ask again, or ask for a kind with more time").After(noBackendRetry)
-	case errors.Is(err, attempt.ErrNoServer):
-		return refusal.New(refusal.KindNoBackend, "no backend server takes work for "+versionID, "ask again after the given wait").After(noBackendRetry)
-	case errors.Is(err, attempt.ErrRejected):
-		return refusal.New(refusal.KindBadRequest, err.Error(), "correct the request")
-	case errors.Is(err, attempt.ErrBusy):
-		return refusal.New(refusal.KindOverloaded, err.Error(), "ask again after the given wait").After(noBackendRetry)
-	case errors.Is(err, attempt.ErrUnreachable):
-		return refusal.New(refusal.KindBackendUnavailable, err.Error(), "ask again after the given wait").After(noBackendRetry)
-	default:
-		return refusal.New(refusal.KindBrokenAnswer, err.Error(), "ask again").After(noBackendRetry)
-	}
-}
+// prefixBytes is the length of the leading part of a prompt by which requests
+// meet the same prefix caches.
+const prefixBytes = 256
 
-// goodEnough rates the answer of a step that is not the last. Without a
-// rating the answer is not given, since it may be below the target.
-func (r *Router) goodEnough(ctx context.Context, u *run, call *ChatCall, plan *cascade.Plan, step cascade.Step, answer *attempt.Answer) bool {
-	ctx, cancel := context.WithTimeout(ctx, ratingTimeout)
-	defer cancel()
-	rating, err := r.Rater.Rate(ctx, &platform.RatingRequest{
-		RequestID: call.RequestID,
-		VersionID: step.VersionID,
-		Prompt:    promptText(call.Request.Messages),
-		Answer:    answer.Parsed.Choices[0].Message.Content,
-	})
-	tokens := totalTokens(answer)
-	noted := requests.Step{VersionID: step.VersionID, Rollout: step.Rollout, Micros: u.micros(step.VersionID, tokens), Result: stepUnrated}
-	sample := &Sample{Account: call.Account.Name, Kind: call.Kind.Name, Model: step.Model, VersionID: step.VersionID, Rollout: step.Rollout}
-	if err == nil {
-		noted.Rating, noted.Result = rating.Score, stepBelowTarget
-		sample.Rated, sample.Rating = true, rating.Score
-	}
-	good := err == nil && rating.Score >= plan.QualityTarget
-	if good {
-		noted.Result = stepAccepted
-	}
-	u.stepDone(noted, tokens)
-	r.Learner.Observe(sample)
-	return good
+func prefixHash(messages []byte) uint64 {
+	return xxhash.Sum64(messages[:min(len(messages), prefixBytes)])
 }
 
-func promptText(messages []openai.Message) string {
-	if len(messages) == 0 {
-		return ""
+// plan reads the session token and plans the steps.
+func (r *Router) plan(u *run, call *ChatCall) (*cascade.Plan, session.Token, *refusal.Refusal) {
+	token := session.Token{Account: call.Account.Name, ID: call.RequestID}
+	if call.SessionToken != "" {
+		read, err := r.Sessions.Read(call.SessionToken, call.Account.Name)
+		if err != nil {
+			return nil, token, refusal.New(refusal.KindBadRequest, err.Error(), "leave out the session token to start a new session")
+		}
+		token = read
 	}
-	return string(messages[len(messages)-1].Content)
+	plan, refused := cascade.Make(call.Config.Index, &cascade.Request{
+		Account:    call.Account,
+		Kind:       call.Kind,
+		Model:      call.Request.Model,
+		RequestID:  call.RequestID,
+		SessionID:  token.ID,
+		Session:    token.Versions,
+		Stream:     call.Request.Stream,
+		RatingDown: r.Ratings.Down(r.Now()),
+		Remaining:  u.remaining(),
+		Halted:     r.Learner.Halted,
+		Learner:    r.Acceptance,
+	})
+	u.planned(plan, token)
+	return plan, token, refused
 }
 
 func totalTokens(answer *attempt.Answer) int64 {
@@ -206,18 +171,28 @@
 }
 
 // answer ends the request with a whole answer.
-func (r *Router) answer(ctx context.Context, u *run, call *ChatCall, token session.Token, step cascade.Step, answer *attempt.Answer, unratedLast bool) (*ChatResult, *refusal.Refusal) {
-	if unratedLast {
-		tokens := totalTokens(answer)
-		u.stepDone(requests.Step{VersionID: step.VersionID, Rollout: step.Rollout, Result: stepAccepted, Micros: u.micros(step.VersionID, tokens)}, tokens)
-		r.Learner.Observe(&Sample{Account: call.Account.Name, Kind: call.Kind.Name, Model: step.Model, VersionID: step.VersionID, Rollout: step.Rollout})
-	}
-	text, err := r.Sessions.Sign(withVersion(token, step))
+func (r *Router) answer(ctx context.Context, u *run, token session.Token, plan *cascade.Plan, t *tried) (*ChatResult, *refusal.Refusal) {
+	text, err := r.Sessions.Sign(withVersion(token, t.step))
 	if err != nil {
 		return nil, u.refuse(ctx, refusal.New(refusal.KindInternal, err.Error(), "report this to the operators"))
 	}
+	quality := qualityOf(plan, t)
+	u.explanation.Quality = string(quality)
 	u.finish(ctx, outcomeAnswered, "")
-	return &ChatResult{Body: answer.Body, VersionID: step.VersionID, SessionToken: text}, nil
+	return &ChatResult{Body: t.answer.Body, VersionID: t.step.VersionID, SessionToken: text, Quality: quality}, nil
+}
+
+func qualityOf(plan *cascade.Plan, t *tried) Quality {
+	switch {
+	case plan.QualityTarget == 0:
+		return QualityMet
+	case !t.rated:
+		return QualityUnrated
+	case t.rating < plan.QualityTarget:
+		return QualityBelowTarget
+	default:
+		return QualityMet
+	}
 }
 
 // withVersion returns the token with the version of a step kept.
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/claims"
 	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/coordination/overload"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/session"
 	"medlarslip/internal/protocol/attempt"
@@ -54,6 +56,11 @@
 	// Rated is true where Rating holds a rating.
 	Rated  bool
 	Rating float64
+	// Accepted is true where the rating meets the quality target.
+	Accepted bool
+	// RatingOnly is true for the late rating of an answer that was observed
+	// before.
+	RatingOnly bool
 	// Failed is true where the step gave no whole answer.
 	Failed bool
 	Took   time.Duration
@@ -83,6 +90,20 @@
 	Sessions      *session.Signer
 	Explanations  *requests.Log
 	Now           func() time.Time
+
+	// Acceptance learns what to expect of versions; nil learns nothing.
+	Acceptance *cascade.Learner
+	// Ratings judges the rating service; nil finds it usable.
+	Ratings *cascade.RatingHealth
+	// Gate and Shares bound the requests in progress; nil sets no bound.
+	Gate   *overload.Gate
+	Shares *overload.Divider
+	// EntryCount returns the number of entry instances that share the backend
+	// servers; nil counts as 1.
+	EntryCount func() int
+
+	budgets     routing.RetryBudgets
+	lateRatings atomic.Int64
 }
 
 const (
@@ -92,55 +113,3 @@
 	// server takes work.
 	noBackendRetry = 2 * time.Second
 )
-
-// acquired is a backend server with a call of this request begun on it.
-type acquired struct {
-	backend *backends.Backend
-	id      string
-	address string
-	started time.Time
-}
-
-// acquire chooses a backend server and begins a call on it. It returns nil
-// where none may take the work.
-func (r *Router) acquire(run *run, target string, exclude []string) *acquired {
-	servers := r.Table.Serving(target)
-	for range maxAttempts {
-		snapshots := make([]backends.Snapshot, len(servers))
-		for i, server := range servers {
-			snapshots[i] = server.Snapshot()
-		}
-		decision := routing.Decide(r.routingRequest(run, target, exclude), snapshots, newRandom())
-		chosen := decision.Chosen()
-		run.considered(target, &decision)
-		if chosen == nil {
-			return nil
-		}
-		backend := servers[decision.Picked]
-		if backend.Begin(chosen.ColdBound) {
-			return &acquired{backend: backend, id: chosen.Server.Server.ID, address: chosen.Server.Server.Address, started: r.Now()}
-		}
-	}
-	return nil
-}
-
-func (r *Router) routingRequest(run *run, target string, exclude []string) *routing.Request {
-	return &routing.Request{
-		Target:        target,
-		FailureDomain: r.FailureDomain,
-		Now:           r.Now(),
-		Exclude:       exclude,
-		DomainOut:     run.index.DomainOut,
-		ColdBound:     func(server *backends.Snapshot) int { return r.Cold.Bound(run.index, server) },
-	}
-}
-
-// newRandom returns a random source of its own, so that decisions share no
-// lock.
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-}
-
-func (r *Router) release(a *acquired, good bool) {
-	a.backend.End(r.Now().Sub(a.started), good)
-}
--- /dev/null
+++ b/internal/coordination/dispatch/hedge.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/records"
+)
+
+const (
+	// servicePriority is that of calls of plain services: they are short, and
+	// others wait for their outcome.
+	servicePriority = 0
+	// hedgeFactor is the multiple of a server's usual time after which a read
+	// is sent to a second server.
+	hedgeFactor = 3
+	// shortestHedge bounds the wait from below, and is the wait while the
+	// usual time is unknown.
+	shortestHedge = 50 * time.Millisecond
+)
+
+// hedgeReply is the end of one of the calls of a hedged read.
+type hedgeReply struct {
+	answer *records.KeptAnswer
+	err    error
+}
+
+// sendIdempotent sends a call that may be repeated. Only reads are hedged.
+func (r *Router) sendIdempotent(ctx context.Context, u *run, call *PlainCall) (*records.KeptAnswer, error) {
+	if isRead(call.Method) {
+		return r.hedgedRead(ctx, u, call)
+	}
+	answer, _, err := r.send(ctx, u, call, false)
+	return answer, err
+}
+
+// hedgedRead sends a read to one server, and to others where it fails or takes
+// far longer than usual (Dean and Barroso, The Tail at Scale, 2013). The first
+// answer counts and ends the other calls. Further calls come out of the retry
+// budget.
+func (r *Router) hedgedRead(ctx context.Context, u *run, call *PlainCall) (*records.KeptAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan hedgeReply, maxAttempts)
+	var exclude []string
+	lastErr := attempt.ErrNoServer
+	pending := 0
+	var hedge <-chan time.Time
+	for n := 0; ; {
+		if n < maxAttempts && r.mayTry(call.Service.Name, n) {
+			if server := r.acquire(u, call.Service.Name, exclude); server != nil {
+				exclude = append(exclude, server.id)
+				hedge = time.After(max(hedgeFactor*server.latency, shortestHedge))
+				pending++
+				go r.read(ctx, call, server, replies)
+			}
+			n++
+		}
+		if pending == 0 {
+			return nil, lastErr
+		}
+		select {
+		case reply := <-replies:
+			pending--
+			u.attempted(resultOf(reply.err))
+			u.mayHaveRun = u.mayHaveRun || pending > 0 || !errors.Is(reply.err, attempt.ErrNotSent)
+			if reply.err == nil || ctx.Err() != nil {
+				return reply.answer, reply.err
+			}
+			lastErr = reply.err
+		case <-hedge:
+			hedge = nil
+		}
+	}
+}
+
+// read makes one call of a hedged read.
+func (r *Router) read(ctx context.Context, call *PlainCall, server *acquired, replies chan<- hedgeReply) {
+	answer, err := r.Services.Do(ctx, newServiceCall(call, server.address))
+	r.settle(server, callResult(ctx, err))
+	replies <- hedgeReply{answer: answer, err: err}
+}
--- a/internal/coordination/dispatch/run.go
+++ b/internal/coordination/dispatch/run.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"medlarslip/internal/coordination/cascade"
+	"medlarslip/internal/coordination/overload"
 	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/coordination/session"
 	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/records"
 	"medlarslip/internal/protocol/refusal"
@@ -20,8 +23,14 @@
 	index   *document.Index
 	account *document.ClientAccount
 	started time.Time
+	// deadline is when the answer must be whole; zero for none.
+	deadline   time.Time
+	prefixHash uint64
+	ticket     *overload.Ticket
 	// mayHaveRun is true once any backend server may have acted.
-	mayHaveRun  bool
+	mayHaveRun bool
+	// overloaded is true once a backend server was full.
+	overloaded  bool
 	bill        records.Bill
 	explanation requests.Explanation
 }
@@ -45,17 +54,51 @@
 	}
 }
 
+// remaining returns the time left until the deadline; 0 where there is none,
+// and negative once it has passed.
+func (u *run) remaining() time.Duration {
+	if u.deadline.IsZero() {
+		return 0
+	}
+	return u.deadline.Sub(u.router.Now())
+}
+
+// planned notes the plan of the steps; a nil plan was refused.
+func (u *run) planned(plan *cascade.Plan, token session.Token) {
+	u.explanation.Session = token.ID
+	if plan == nil {
+		return
+	}
+	u.explanation.PlanReason = plan.Reason
+	for _, option := range plan.Options {
+		u.explanation.Options = append(u.explanation.Options, requests.Option{
+			VersionID:     option.Step.VersionID,
+			Rollout:       option.Step.Rollout,
+			Acceptance:    option.Accept.Mean,
+			AcceptanceLow: option.Accept.Low,
+			Ratings:       option.Accept.Observed,
+			Price:         option.Price,
+			ExpectedMS:    option.Took.Milliseconds(),
+			Chosen:        option.Chosen,
+		})
+	}
+}
+
 // considered notes a routing decision.
 func (u *run) considered(target string, decision *routing.Decision) {
-	noted := requests.Attempt{Target: target}
+	noted := requests.Attempt{Target: target, InView: decision.InView}
 	if chosen := decision.Chosen(); chosen != nil {
 		noted.Picked = chosen.Server.Server.ID
 	}
 	candidates := make([]requests.Candidate, len(decision.Candidates))
-	for i, candidate := range decision.Candidates {
-		candidates[i] = requests.Candidate{ID: candidate.Server.Server.ID, Dropped: candidate.Dropped, Score: candidate.Score}
+	for i := range decision.Candidates {
+		candidate := &decision.Candidates[i]
+		candidates[i] = requests.Candidate{
+			ID: candidate.Server.Server.ID, Dropped: candidate.Dropped, Score: candidate.Score,
+			InFlight: candidate.Server.InFlight, PrefixCache: candidate.Affine, Bound: candidate.Bound,
+		}
 	}
-	noted.Candidates = requests.TrimCandidates(candidates)
+	noted.Candidates, noted.Left = requests.TrimCandidates(candidates, noted.Picked)
 	u.explanation.Attempts = append(u.explanation.Attempts, noted)
 }
 
@@ -69,6 +112,7 @@
 // stepDone notes the end of a step on explanation and bill.
 func (u *run) stepDone(step requests.Step, tokens int64) {
 	u.explanation.Steps = append(u.explanation.Steps, step)
+	u.explanation.Micros += step.Micros
 	u.bill.Steps = append(u.bill.Steps, records.BillStep{VersionID: step.VersionID, Tokens: tokens, Micros: step.Micros, Result: step.Result})
 }
 
@@ -85,6 +129,8 @@
 
 // finish bills the request and keeps its explanation.
 func (u *run) finish(ctx context.Context, outcome, reason string) {
+	late := u.remaining() < 0
+	u.leave(u.overloaded || late)
 	u.bill.Outcome = outcome
 	u.explanation.Outcome = outcome
 	u.explanation.Reason = reason
--- /dev/null
+++ b/internal/coordination/dispatch/server.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/state/backends"
+)
+
+// acquired is a backend server with a call of this request begun on it.
+type acquired struct {
+	backend *backends.Backend
+	id      string
+	address string
+	started time.Time
+	// latency is the server's usual time to a good answer; 0 while unknown.
+	latency time.Duration
+}
+
+// acquire chooses a backend server and begins a call on it. It returns nil
+// where none may take the work.
+func (r *Router) acquire(run *run, target string, exclude []string) *acquired {
+	servers := backends.List(r.Table.Serving(target))
+	for range maxAttempts {
+		decision := routing.Decide(r.routingRequest(run, target, exclude), servers, newRandom())
+		chosen := decision.Chosen()
+		run.considered(target, &decision)
+		if chosen == nil {
+			return nil
+		}
+		backend := servers[chosen.Index]
+		if backend.Begin(chosen.Bound) {
+			server := &chosen.Server
+			return &acquired{backend: backend, id: server.Server.ID, address: server.Server.Address, started: r.Now(), latency: server.Latency}
+		}
+	}
+	return nil
+}
+
+func (r *Router) routingRequest(run *run, target string, exclude []string) *routing.Request {
+	entries := 1
+	if r.EntryCount != nil {
+		entries = r.EntryCount()
+	}
+	return &routing.Request{
+		Target:        target,
+		FailureDomain: r.FailureDomain,
+		Now:           r.Now(),
+		Remaining:     run.remaining(),
+		Entries:       entries,
+		Exclude:       exclude,
+		PrefixHash:    run.prefixHash,
+		DomainOut:     run.index.DomainOut,
+		ColdBound:     func(server *backends.Snapshot) int { return r.Cold.Bound(run.index, server) },
+	}
+}
+
+// newRandom returns a random source of its own, so that decisions share no
+// lock.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// release ends a call that was good or failed by the server's fault.
+func (r *Router) release(a *acquired, good bool) {
+	if good {
+		r.settle(a, backends.CallGood)
+		return
+	}
+	r.settle(a, backends.CallFailed)
+}
+
+func (r *Router) settle(a *acquired, result backends.CallResult) {
+	now := r.Now()
+	a.backend.Settle(now, now.Sub(a.started), result)
+}
+
+// callResult says what the end of a call tells about the server. One that was
+// full, found fault with the request, or was cancelled by this side is none
+// the worse for it.
+func callResult(ctx context.Context, err error) backends.CallResult {
+	switch {
+	case err == nil:
+		return backends.CallGood
+	case errors.Is(err, attempt.ErrBusy), errors.Is(err, attempt.ErrRejected), errors.Is(ctx.Err(), context.Canceled):
+		return backends.CallNeutral
+	default:
+		return backends.CallFailed
+	}
+}
+
+// mayTry counts the nth attempt at a target, from 0, and reports whether the
+// retry budget allows it.
+func (r *Router) mayTry(target string, n int) bool {
+	budget := r.budgets.Of(target)
+	if n == 0 {
+		budget.First()
+		return true
+	}
+	return budget.Take(r.Now())
+}
--- a/internal/coordination/dispatch/service.go
+++ b/internal/coordination/dispatch/service.go
@@ -34,8 +34,12 @@
 // Plain passes a call on to a plain service.
 func (r *Router) Plain(ctx context.Context, call *PlainCall) (*records.KeptAnswer, *refusal.Refusal) {
 	u := r.newRun(call.RequestID, call.Service.Name, call.Method, call.Account, call.Config.Index, call.Config.Envelope.Number)
-	deadline, cancel := context.WithTimeout(ctx, time.Duration(call.Service.TimeoutMillis)*time.Millisecond)
+	u.deadline = u.started.Add(time.Duration(call.Service.TimeoutMillis) * time.Millisecond)
+	deadline, cancel := context.WithTimeout(ctx, u.remaining())
 	defer cancel()
+	if refused := r.admit(deadline, u, servicePriority, 0); refused != nil {
+		return nil, u.refuse(ctx, refused)
+	}
 	answer, refused := r.callService(deadline, u, call)
 	if refused != nil {
 		return nil, u.refuse(ctx, refused)
@@ -47,7 +51,7 @@
 
 func (r *Router) callService(ctx context.Context, u *run, call *PlainCall) (*records.KeptAnswer, *refusal.Refusal) {
 	if !nonIdempotent(call) {
-		answer, _, err := r.send(ctx, u, call, isRead(call.Method))
+		answer, err := r.sendIdempotent(ctx, u, call)
 		if err != nil {
 			return nil, serviceRefusal(ctx, call, err)
 		}
@@ -102,11 +106,8 @@
 		if server == nil {
 			break
 		}
-		answer, err := r.Services.Do(ctx, &attempt.ServiceCall{
-			Address: server.address, Method: call.Method, Path: withQuery(call), ContentType: call.ContentType,
-			Body: call.Body, RequestID: call.RequestID, IdempotencyKey: call.Key,
-		})
-		r.release(server, err == nil)
+		answer, err := r.Services.Do(ctx, newServiceCall(call, server.address))
+		r.settle(server, callResult(ctx, err))
 		u.attempted(resultOf(err))
 		if err == nil {
 			return answer, true, nil
@@ -125,6 +126,13 @@
 	return nil, u.mayHaveRun, lastErr
 }
 
+func newServiceCall(call *PlainCall, address string) *attempt.ServiceCall {
+	return &attempt.ServiceCall{
+		Address: address, Method: call.Method, Path: withQuery(call), ContentType: call.ContentType,
+		Body: call.Body, RequestID: call.RequestID, IdempotencyKey: call.Key,
+	}
+}
+
 func withQuery(call *PlainCall) string {
 	if call.Query == "" {
 		return call.Path
--- /dev/null
+++ b/internal/coordination/dispatch/step.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"medlarslip/internal/coordination/cascade"
+	"medlarslip/internal/protocol/attempt"
+	"medlarslip/internal/protocol/refusal"
+	"medlarslip/internal/state/requests"
+)
+
+// tried is a step that gave a whole answer.
+type tried struct {
+	step   cascade.Step
+	answer *attempt.Answer
+	took   time.Duration
+	// rated is true where rating holds a rating.
+	rated  bool
+	rating float64
+}
+
+// tryStep asks servers of one version until one gives a whole answer.
+func (r *Router) tryStep(ctx context.Context, u *run, call *ChatCall, step cascade.Step) (*tried, *refusal.Refusal) {
+	var exclude []string
+	lastErr := attempt.ErrNoServer
+	for n := 0; n < maxAttempts && r.mayTry(step.VersionID, n); n++ {
+		server := r.acquire(u, step.VersionID, exclude)
+		if server == nil {
+			break
+		}
+		answer, err := r.Engines.Complete(ctx, newEngineCall(call, step.VersionID, server.address, n+1))
+		r.settle(server, callResult(ctx, err))
+		u.attempted(resultOf(err))
+		if err == nil {
+			u.mayHaveRun = true
+			took := r.Now().Sub(server.started)
+			r.Acceptance.Answered(call.Kind.Name, step.VersionID, took)
+			return &tried{step: step, answer: answer, took: took}, nil
+		}
+		u.noteFailure(err)
+		lastErr = err
+		if ctx.Err() != nil || errors.Is(err, attempt.ErrRejected) {
+			break
+		}
+		exclude = append(exclude, server.id)
+	}
+	u.stepDone(requests.Step{VersionID: step.VersionID, Rollout: step.Rollout, Result: stepFailed}, 0)
+	sample := sampleOf(call, step)
+	sample.Failed = !errors.Is(lastErr, attempt.ErrNoServer) && !errors.Is(lastErr, attempt.ErrRejected)
+	r.Learner.Observe(sample)
+	return nil, stepRefusal(ctx, step.VersionID, lastErr)
+}
+
+func sampleOf(call *ChatCall, step cascade.Step) *Sample {
+	return &Sample{Account: call.Account.Name, Kind: call.Kind.Name, Model: step.Model, VersionID: step.VersionID, Rollout: step.Rollout}
+}
+
+func newEngineCall(call *ChatCall, versionID, address string, number int) *attempt.EngineCall {
+	return &attempt.EngineCall{
+		Address:   address,
+		VersionID: versionID,
+		AttemptID: fmt.Sprintf("%s-%s-%d", call.RequestID, versionID, number),
+		Priority:  call.Kind.Priority,
+		Body:      call.Body,
+	}
+}
+
+func resultOf(err error) string {
+	if err == nil {
+		return outcomeAnswered
+	}
+	return err.Error()
+}
+
+// noteFailure remembers whether the engine may have acted, and whether it was
+// full.
+func (u *run) noteFailure(err error) {
+	certain := errors.Is(err, attempt.ErrUnreachable) || errors.Is(err, attempt.ErrBusy) || errors.Is(err, attempt.ErrRejected)
+	u.mayHaveRun = u.mayHaveRun || !certain
+	u.overloaded = u.overloaded || errors.Is(err, attempt.ErrBusy)
+}
+
+func stepRefusal(ctx context.Context, versionID string, err error) *refusal.Refusal {
+	switch {
+	case ctx.Err() != nil:
+		return refusal.New(refusal.KindDeadline, "the time of this kind of request is over", "ask again, or ask for a kind with more time").After(noBackendRetry)
+	case errors.Is(err, attempt.ErrNoServer):
+		return refusal.New(refusal.KindNoBackend, "no backend server takes work for "+versionID, "ask again after the given wait").After(noBackendRetry)
+	case errors.Is(err, attempt.ErrRejected):
+		return refusal.New(refusal.KindBadRequest, err.Error(), "correct the request")
+	case errors.Is(err, attempt.ErrBusy):
+		return refusal.New(refusal.KindOverloaded, err.Error(), "ask again after the given wait").After(noBackendRetry)
+	case errors.Is(err, attempt.ErrUnreachable):
+		return refusal.New(refusal.KindBackendUnavailable, err.Error(), "ask again after the given wait").After(noBackendRetry)
+	default:
+		return refusal.New(refusal.KindBrokenAnswer, err.Error(), "ask again").After(noBackendRetry)
+	}
+}
--- a/internal/coordination/dispatch/stream.go
+++ b/internal/coordination/dispatch/stream.go
@@ -14,6 +14,7 @@
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/openai"
 	"medlarslip/internal/protocol/refusal"
+	"medlarslip/internal/state/backends"
 	"medlarslip/internal/state/requests"
 )
 
@@ -55,11 +56,14 @@
 // Stream opens a streamed answer. Until its first part has arrived another
 // server may be tried; from then on the version is settled.
 func (r *Router) Stream(ctx context.Context, call *ChatCall) (*ChatStream, *refusal.Refusal) {
-	u := r.newRun(call.RequestID, call.Request.Model, call.Kind.Name, call.Account, call.Config.Index, call.Config.Envelope.Number)
-	plan, token, refused := r.plan(call)
+	u := r.newChatRun(call)
+	plan, token, refused := r.plan(u, call)
 	if refused != nil {
 		return nil, u.refuse(ctx, refused)
 	}
+	if refused := r.admit(ctx, u, call.Kind.Priority, plan.Expected(0)); refused != nil {
+		return nil, u.refuse(ctx, refused)
+	}
 	for i, step := range plan.Steps {
 		s, refused := r.openStream(ctx, u, call, token, step)
 		if refused == nil {
@@ -114,6 +118,9 @@
 
 // connect opens the stream on a server that has not failed this request.
 func (s *ChatStream) connect(body map[string]json.RawMessage) error {
+	if !s.router.mayTry(s.step.VersionID, s.tries) {
+		return attempt.ErrNoServer
+	}
 	s.server = s.router.acquire(s.run, s.step.VersionID, s.exclude)
 	if s.server == nil {
 		return attempt.ErrNoServer
@@ -139,7 +146,7 @@
 	}
 	s.exclude = append(s.exclude, s.server.id)
 	s.closeStream()
-	s.router.release(s.server, false)
+	s.router.settle(s.server, callResult(s.caller, err))
 	s.server = nil
 }
 
@@ -331,7 +338,7 @@
 func (s *ChatStream) abandon() {
 	s.closeStream()
 	if s.server != nil {
-		s.router.release(s.server, true)
+		s.router.settle(s.server, backends.CallNeutral)
 		s.server = nil
 	}
 	s.cancel()
--- /dev/null
+++ b/internal/coordination/rollout/sequential.go
@@ -0,0 +1,71 @@
+package rollout
+
+import "math"
+
+// Causes of a halt.
+const (
+	CauseRatings = "ratings"
+	CauseErrors  = "errors"
+	CauseLatency = "latency"
+)
+
+const (
+	// falseHalt bounds the probability that a roll-out of a version which is
+	// not worse is ever halted, over all measures and all looks.
+	falseHalt = 0.01
+	// measures is the number of measures that share falseHalt.
+	measures = 3
+	// mixtureDeviation is the standard deviation of the differences in
+	// probability that the test looks for.
+	mixtureDeviation = 0.2
+	// tolerance is the difference in probability that counts as no worse.
+	tolerance = 0.01
+	// minNew and minOld are the numbers of observations before the normal
+	// approximation is used.
+	minNew = 8
+	minOld = 20
+)
+
+// Worse tests whether the new version is worse than the old and names the
+// first measure that shows it, or returns the empty string. It may be asked
+// after every observation: the mixture sequential probability ratio test
+// stays valid however often it is looked at (Robbins, 1970; for differences of
+// probabilities Johari, Koomen, Pekelis and Walsh, Peeking at A/B Tests, 2017).
+func Worse(oldArm, newArm Counts) string {
+	switch {
+	case rejects(oldArm.Below, oldArm.Rated, newArm.Below, newArm.Rated):
+		return CauseRatings
+	case rejects(oldArm.Failed, oldArm.Answers, newArm.Failed, newArm.Answers):
+		return CauseErrors
+	case rejects(oldArm.Slow, oldArm.Timed, newArm.Slow, newArm.Timed):
+		return CauseLatency
+	}
+	return ""
+}
+
+func rejects(oldBad, oldTotal, newBad, newTotal uint64) bool {
+	return likelihoodRatio(oldBad, oldTotal, newBad, newTotal) >= measures/falseHalt
+}
+
+// likelihoodRatio weighs a new version that is worse by a half-normal
+// difference against one that is not worse.
+func likelihoodRatio(oldBad, oldTotal, newBad, newTotal uint64) float64 {
+	if oldTotal < minOld || newTotal < minNew {
+		return 0
+	}
+	n0, n1 := float64(oldTotal), float64(newTotal)
+	difference := float64(newBad)/n1 - float64(oldBad)/n0 - tolerance
+	if difference <= 0 {
+		return 0
+	}
+	// One observation of each outcome keeps the variance from vanishing.
+	pooled := (float64(oldBad+newBad) + 1) / (n0 + n1 + 2)
+	variance := pooled * (1 - pooled) * (1/n0 + 1/n1)
+	mixture := mixtureDeviation * mixtureDeviation
+	scale := math.Sqrt(variance / (variance + mixture))
+	exponent := mixture * difference * difference / (2 * variance * (variance + mixture))
+	half := difference * mixtureDeviation / math.Sqrt(variance*(variance+mixture))
+	return 2 * normalCDF(half) * scale * math.Exp(exponent)
+}
+
+func normalCDF(x float64) float64 { return math.Erfc(-x/math.Sqrt2) / 2 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -1,6 +1,7 @@
 // Package routing decides which backend server runs one attempt of a request.
-// A decision filters the candidates, scores those that are left, and picks
-// one. It is pure: clock and random source are given, and nothing is changed.
+// A decision samples candidates, filters them, scores those that are left, and
+// picks one. It is pure: clock and random source are given, and nothing is
+// changed.
 package routing
 
 import (
@@ -18,6 +19,11 @@
 	FailureDomain string
 	// Now is the moment of the decision.
 	Now time.Time
+	// Remaining is the time left for the answer; 0 means no bound.
+	Remaining time.Duration
+	// Entries is the number of entry instances that share the servers; 0
+	// counts as 1.
+	Entries int
 	// Exclude holds IDs of servers that already failed this request.
 	Exclude []string
 	// PrefixHash identifies the leading part of the prompt, so that requests
@@ -30,43 +36,54 @@
 	ColdBound func(server *backends.Snapshot) int
 }
 
+// View is the servers of one target at the moment of a decision. Only the
+// servers that become candidates are copied.
+type View interface {
+	// Len returns the number of servers.
+	Len() int
+	// Hash returns a hash of the ID of one server.
+	Hash(i int) uint64
+	// Snapshot returns a copy of the state of one server.
+	Snapshot(i int) backends.Snapshot
+}
+
 // Candidate is one backend server as a decision saw it.
 type Candidate struct {
+	// Index is the place of the server in the view.
+	Index  int
 	Server backends.Snapshot
 	// Dropped names the filter that excluded the server; empty if none did.
 	Dropped string
-	// Score is the expected cost of the choice; lower is better.
+	// Score is the expected work before the request, in requests in progress;
+	// lower is better.
 	Score float64
-	// ColdBound is the bound that the call must be begun with; 0 means none.
-	ColdBound int
+	// Affine is true where the prefix of the prompt belongs to the server.
+	Affine bool
+	// Bound is the number of calls in flight that the call must be begun
+	// with; 0 means none.
+	Bound int
 }
 
 // Decision is the result with all that led to it.
 type Decision struct {
+	// InView is the number of servers that could become candidates.
+	InView     int
 	Candidates []Candidate
 	// Picked is the index of the chosen candidate, or -1.
 	Picked int
 }
 
 // Chosen returns the chosen candidate, or nil.
-func (d *Decision) Chosen() *Candidate {
+func (d Decision) Chosen() *Candidate {
 	if d.Picked < 0 {
 		return nil
 	}
 	return &d.Candidates[d.Picked]
 }
 
-// Decide filters, scores and picks.
-func Decide(req *Request, servers []backends.Snapshot, random *rand.Rand) Decision {
-	decision := Decision{Candidates: make([]Candidate, len(servers)), Picked: -1}
-	for i := range servers {
-		candidate := &decision.Candidates[i]
-		candidate.Server = servers[i]
-		candidate.Dropped = filter(req, candidate)
-		if candidate.Dropped == "" {
-			candidate.Score = score(req, &candidate.Server)
-		}
-	}
-	decision.Picked = pick(decision.Candidates, random)
-	return decision
+// Decide samples, filters, scores and picks.
+func Decide(req *Request, view View, random *rand.Rand) Decision {
+	candidates := sample(req, view, random)
+	scoreAll(req, candidates)
+	return Decision{InView: view.Len(), Candidates: candidates, Picked: pick(candidates, random)}
 }
--- /dev/null
+++ b/internal/coordination/routing/routing_test.go
@@ -0,0 +1,244 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/state/backends"
+)
+
+const target = "small-1"
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+func newList(count int) backends.List {
+	table := backends.NewTable()
+	var servers []backends.Server
+	for i := range count {
+		servers = append(servers, backends.Server{
+			ID: fmt.Sprintf("engine-%03d", i), Role: platform.RoleEngine, Serves: []string{target},
+			FailureDomain: fmt.Sprintf("domain-%d", i%5),
+		})
+	}
+	table.Apply(servers)
+	return table.Serving(target)
+}
+
+func TestFiltersNameTheirCause(t *testing.T) {
+	good := backends.Server{ID: "a", Serves: []string{target}, FailureDomain: "x"}
+	leaving, other, out := good, good, good
+	leaving.Leaving = true
+	other.Serves = []string{"small-2"}
+	out.FailureDomain = "out"
+	cases := []struct {
+		name   string
+		server backends.Server
+		change func(b *backends.Backend, req *routing.Request)
+		want   string
+	}{
+		{"good", good, func(*backends.Backend, *routing.Request) {}, ""},
+		{"leaving", leaving, func(*backends.Backend, *routing.Request) {}, routing.DroppedLeaving},
+		{"other version", other, func(*backends.Backend, *routing.Request) {}, routing.DroppedVersion},
+		{"domain out", out, func(*backends.Backend, *routing.Request) {}, routing.DroppedDomainOut},
+		{"failed before", good, func(_ *backends.Backend, req *routing.Request) { req.Exclude = []string{"a"} }, routing.DroppedExcluded},
+		{"cold", good, func(b *backends.Backend, req *routing.Request) {
+			b.Begin(0)
+			req.ColdBound = func(*backends.Snapshot) int { return 1 }
+		}, routing.DroppedCold},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			table := backends.NewTable()
+			listed := tc.server
+			listed.Serves = []string{target}
+			table.Apply([]backends.Server{listed})
+			view := backends.List(table.Serving(target))
+			table.Apply([]backends.Server{tc.server})
+			req := &routing.Request{Target: target, Now: start, DomainOut: func(name string) bool { return name == "out" }}
+			tc.change(view[0], req)
+			decision := routing.Decide(req, view, newRandom(1))
+			must.Eq(t, tc.want, decision.Candidates[0].Dropped)
+			must.Eq(t, tc.want == "", decision.Chosen() != nil)
+		})
+	}
+}
+
+// TestBreakerProbesOnTheClock takes a server through open, half open, open for
+// longer, half open and closed.
+func TestBreakerProbesOnTheClock(t *testing.T) {
+	view := newList(1)
+	now := start
+	call := func(result backends.CallResult) {
+		must.True(t, view[0].Begin(0))
+		view[0].Settle(now, time.Millisecond, result)
+	}
+	dropped := func() string {
+		return routing.Decide(&routing.Request{Target: target, Now: now}, view, newRandom(1)).Candidates[0].Dropped
+	}
+	for range 5 {
+		must.Eq(t, "", dropped())
+		call(backends.CallFailed)
+	}
+	must.Eq(t, routing.DroppedBreaker, dropped())
+	now = now.Add(time.Second)
+	decision := routing.Decide(&routing.Request{Target: target, Now: now}, view, newRandom(1))
+	must.Eq(t, 1, decision.Chosen().Bound)
+	must.True(t, view[0].Begin(1))
+	must.Eq(t, routing.DroppedProbing, dropped())
+	must.False(t, view[0].Begin(1))
+	view[0].Settle(now, time.Millisecond, backends.CallFailed)
+	now = now.Add(time.Second)
+	must.Eq(t, routing.DroppedBreaker, dropped())
+	now = now.Add(time.Second)
+	must.Eq(t, "", dropped())
+	call(backends.CallGood)
+	decision = routing.Decide(&routing.Request{Target: target, Now: now}, view, newRandom(1))
+	must.Eq(t, 0, decision.Chosen().Bound)
+}
+
+func TestFullServersDoNotOpenTheBreaker(t *testing.T) {
+	view := newList(1)
+	for range 20 {
+		must.True(t, view[0].Begin(0))
+		view[0].Settle(start, time.Millisecond, backends.CallNeutral)
+	}
+	snapshot := view.Snapshot(0)
+	must.Eq(t, 0, snapshot.InFlight)
+	must.Eq(t, 0, snapshot.Failures)
+}
+
+func TestSearchFindsTheOnlyServerLeft(t *testing.T) {
+	view := newList(600)
+	var exclude []string
+	for i := range view {
+		exclude = append(exclude, view.Snapshot(i).Server.ID)
+	}
+	exclude = slices.Delete(exclude, 417, 418)
+	for seed := range uint64(50) {
+		decision := routing.Decide(&routing.Request{Target: target, Now: start, Exclude: exclude}, view, newRandom(seed))
+		must.Eq(t, "engine-417", decision.Chosen().Server.Server.ID)
+	}
+}
+
+func TestPrefixAffinityHasABoundedLoad(t *testing.T) {
+	view := newList(40)
+	req := &routing.Request{Target: target, Now: start, PrefixHash: 77}
+	used := map[int]int{}
+	for seed := range uint64(200) {
+		used[routing.Decide(req, view, newRandom(seed)).Chosen().Index]++
+	}
+	must.LessEq(t, 2, len(used))
+	for i := range used {
+		view[i].SetLoad(backends.Load{Running: 50, ReadAt: start})
+	}
+	for seed := range uint64(200) {
+		must.MapNotContainsKey(t, used, routing.Decide(req, view, newRandom(seed)).Chosen().Index)
+	}
+}
+
+func TestRetryBudgetBoundsAStorm(t *testing.T) {
+	budget := routing.NewRetryBudget()
+	retries := 0
+	for range 1000 {
+		budget.First()
+		for range 2 {
+			if budget.Take(start) {
+				retries++
+			}
+		}
+	}
+	must.Between(t, 100, retries, 125)
+}
+
+// herd runs instances that all see the same lagging report and returns the
+// highest number of requests that one server had at once. Each request takes
+// one report interval.
+func herd(choose func(instance int, views []backends.List) int) int {
+	const instances, servers, perInstance, intervals = 40, 20, 5, 30
+	views := make([]backends.List, instances)
+	for i := range views {
+		views[i] = newList(servers)
+	}
+	work := make([]int, servers)
+	highest := 0
+	for range intervals {
+		for _, view := range views {
+			for s, server := range view {
+				server.SetLoad(backends.Load{Running: work[s], ReadAt: start})
+			}
+		}
+		next := make([]int, servers)
+		for i := range instances {
+			for range perInstance {
+				s := choose(i, views)
+				views[i][s].Begin(0)
+				next[s]++
+			}
+		}
+		for i := range views {
+			for _, server := range views[i] {
+				for server.Snapshot().InFlight > 0 {
+					server.Settle(start, time.Second, backends.CallGood)
+				}
+			}
+		}
+		work = next
+		highest = max(highest, slices.Max(work))
+	}
+	return highest
+}
+
+// TestNoHerding compares decisions with the choice of the least reported load,
+// at a mean of 10 requests a server.
+func TestNoHerding(t *testing.T) {
+	random := newRandom(3)
+	ours := herd(func(i int, views []backends.List) int {
+		req := &routing.Request{Target: target, Now: start, Entries: len(views)}
+		return routing.Decide(req, views[i], random).Chosen().Index
+	})
+	least := herd(func(i int, views []backends.List) int {
+		best := 0
+		for s := range views[i] {
+			if views[i].Snapshot(s).Load.Running < views[i].Snapshot(best).Load.Running {
+				best = s
+			}
+		}
+		return best
+	})
+	t.Logf("highest number of requests at one server, mean 10: %d; least reported load: %d", ours, least)
+	must.LessEq(t, 30, ours)
+	must.Greater(t, 4*ours, least)
+}
+
+func BenchmarkDecide600(b *testing.B) {
+	view := newList(600)
+	random := newRandom(1)
+	req := &routing.Request{Target: target, Now: start, PrefixHash: 9, Entries: 410, FailureDomain: "domain-1"}
+	b.ReportAllocs()
+	for b.Loop() {
+		req.PrefixHash++
+		routing.Decide(req, view, random)
+	}
+}
+
+func BenchmarkDecide600Parallel(b *testing.B) {
+	view := newList(600)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		random := newRandom(1)
+		req := &routing.Request{Target: target, Now: start, PrefixHash: 9, Entries: 410, FailureDomain: "domain-1"}
+		for pb.Next() {
+			req.PrefixHash++
+			routing.Decide(req, view, random)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/routing/sample.go
@@ -0,0 +1,107 @@
+package routing
+
+import "math/rand/v2"
+
+const (
+	// maxCandidates is the number of servers that a decision looks at while
+	// enough of them are left by the filters.
+	maxCandidates = 16
+	// minLeft is the number of servers that must be left by the filters
+	// before the search ends early.
+	minLeft = 2
+)
+
+// sample returns the filtered candidates of a decision: every server of a
+// small view, and of a large one the two that the prefix of the prompt belongs
+// to and a random run. Where the filters leave too few, the search goes on
+// through the whole view, so that a server which may take the work is found.
+func sample(req *Request, view View, random *rand.Rand) []Candidate {
+	count := view.Len()
+	if count == 0 {
+		return nil
+	}
+	candidates := make([]Candidate, 0, min(count, maxCandidates))
+	first, second := affine(req.PrefixHash, view)
+	left := 0
+	add := func(i int) {
+		candidates = append(candidates, Candidate{Index: i, Server: view.Snapshot(i), Affine: i == first || i == second})
+		candidate := &candidates[len(candidates)-1]
+		candidate.Dropped = filter(req, candidate)
+		if candidate.Dropped == "" {
+			left++
+		}
+	}
+	for _, i := range []int{first, second} {
+		if i >= 0 {
+			add(i)
+		}
+	}
+	walk := newWalk(count, random)
+	for range count {
+		if len(candidates) >= maxCandidates && left >= minLeft {
+			break
+		}
+		if i := walk.next(); i != first && i != second {
+			add(i)
+		}
+	}
+	return candidates
+}
+
+// affine returns the two servers that a prefix belongs to by rendezvous
+// hashing (Thaler and Ravishankar, 1998), or -1 where there is none. A server
+// that leaves moves only its own prefixes.
+func affine(prefixHash uint64, view View) (first, second int) {
+	first, second = -1, -1
+	if prefixHash == 0 {
+		return first, second
+	}
+	var highest, next uint64
+	for i := range view.Len() {
+		weight := mix(prefixHash ^ view.Hash(i))
+		switch {
+		case first < 0 || weight > highest:
+			second, next = first, highest
+			first, highest = i, weight
+		case second < 0 || weight > next:
+			second, next = i, weight
+		}
+	}
+	return first, second
+}
+
+// mix spreads the bits of a number (finalizer of SplitMix64: Steele, Lea and
+// Flood, 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// walk visits every index below count once, in an order that starts anywhere
+// and strides by a number without a common divisor, so that it needs no list.
+type walk struct {
+	at, stride, count int
+}
+
+func newWalk(count int, random *rand.Rand) walk {
+	stride := 1 + random.IntN(count)
+	for gcd(stride, count) != 1 {
+		stride++
+	}
+	return walk{at: random.IntN(count), stride: stride, count: count}
+}
+
+func (w *walk) next() int {
+	w.at = (w.at + w.stride) % w.count
+	return w.at
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
--- a/internal/coordination/routing/score.go
+++ b/internal/coordination/routing/score.go
@@ -1,21 +1,92 @@
 package routing
 
-import "medlarslip/internal/state/backends"
+import (
+	"math"
+	"time"
+
+	"medlarslip/internal/state/backends"
+)
 
 const (
 	// otherDomainPenalty is the score of leaving the own failure domain, in
-	// units of one request in progress.
+	// requests in progress.
 	otherDomainPenalty = 0.25
 	// waitingWeight counts a queued request against a running one.
 	waitingWeight = 2.0
+	// loadHalfLife is the age at which a load report counts for half.
+	loadHalfLife = 3 * time.Second
+	// affinityGain is what a warm prefix cache saves, in requests in progress.
+	affinityGain = 1.5
+	// affinityLoadFactor bounds the load of a server that is preferred for its
+	// prefix cache, as a multiple of the mean (Mirrokni, Thorup and
+	// Zadimoghaddam, Consistent Hashing with Bounded Loads, 2018).
+	affinityLoadFactor = 1.25
+	// latePenalty is the score of a server that is expected to answer after
+	// the deadline, in requests in progress.
+	latePenalty = 100.0
 )
 
-// score adds up the work that the server has before it. Reported load lags,
-// so the calls that this instance has in flight count on top of it.
-func score(req *Request, server *backends.Snapshot) float64 {
-	total := float64(server.Load.Running) + waitingWeight*float64(server.Load.Waiting) + float64(server.InFlight)
-	if server.Server.FailureDomain != req.FailureDomain {
-		total += otherDomainPenalty
+// scoreAll scores the candidates that the filters left.
+func scoreAll(req *Request, candidates []Candidate) {
+	total, left := 0.0, 0
+	for i := range candidates {
+		if candidates[i].Dropped != "" {
+			continue
+		}
+		candidates[i].Score = scoreLoad(req, &candidates[i].Server)
+		total += candidates[i].Score
+		left++
+	}
+	if left == 0 {
+		return
+	}
+	bound := affinityLoadFactor*total/float64(left) + 1
+	for i := range candidates {
+		candidate := &candidates[i]
+		if candidate.Dropped != "" {
+			continue
+		}
+		load := candidate.Score
+		candidate.Score += scoreDomain(req, &candidate.Server)
+		candidate.Score += scoreDeadline(req, &candidate.Server)
+		candidate.Score -= scoreAffinity(candidate, load, bound)
+	}
+}
+
+// scoreLoad estimates the work that the server has before it. Reports lag:
+// calls that this instance began or ended since the report are added, and as
+// the report ages the estimate moves to what this instance sees itself, taken
+// for all entry instances.
+func scoreLoad(req *Request, server *backends.Snapshot) float64 {
+	own := float64(server.InFlight) * float64(max(req.Entries, 1))
+	if server.Load.ReadAt.IsZero() {
+		return own
+	}
+	reported := float64(server.Load.Running) + waitingWeight*float64(server.Load.Waiting)
+	since := float64(server.InFlight - server.InFlightAtLoad)
+	estimate := max(reported+since, float64(server.InFlight))
+	age := max(req.Now.Sub(server.Load.ReadAt), 0)
+	trust := math.Exp2(-float64(age) / float64(loadHalfLife))
+	return trust*estimate + (1-trust)*own
+}
+
+func scoreDomain(req *Request, server *backends.Snapshot) float64 {
+	if server.Server.FailureDomain == req.FailureDomain {
+		return 0
+	}
+	return otherDomainPenalty
+}
+
+func scoreDeadline(req *Request, server *backends.Snapshot) float64 {
+	if req.Remaining > 0 && server.Latency > req.Remaining {
+		return latePenalty
+	}
+	return 0
+}
+
+func scoreAffinity(candidate *Candidate, load, bound float64) float64 {
+	if candidate.Affine && load <= bound {
+		return affinityGain
 	}
-	return total
+	return 0
 }
--- a/internal/coordination/session/token.go
+++ b/internal/coordination/session/token.go
@@ -17,6 +17,8 @@
 type Token struct {
 	// Account is the client account that the session belongs to.
 	Account string `json:"acc"`
+	// ID names the session; it is the ID of its first request.
+	ID string `json:"sid"`
 	// Versions maps the name of each model to the version that the session
 	// has met.
 	Versions map[string]string `json:"ver"`
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -46,6 +46,7 @@
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
 	explanations *requests.Log
+	decisions    decisions
 
 	// followers run until the last request is answered.
 	followers []part
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -3,16 +3,46 @@
 import (
 	"time"
 
+	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/dispatch"
+	"medlarslip/internal/coordination/overload"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/session"
+	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/transport/engine"
 	"medlarslip/internal/transport/plainservice"
 )
 
+// decisions holds what an instance learns from its requests. Monitor and
+// acceptance are exchanged with the other instances by Export and Merge.
+type decisions struct {
+	monitor    *rollout.Monitor
+	acceptance *cascade.Learner
+	shares     *overload.Divider
+}
+
+func (a *assembly) newDecisions() decisions {
+	shares := overload.NewDivider(a.settings.Instance, a.members.EntryIDs, time.Now)
+	a.followers = append(a.followers, shares.Run)
+	return decisions{
+		monitor:    rollout.New(a.settings.Instance+"/"+a.incarnation, a.index, nil, time.Now),
+		acceptance: cascade.NewLearner(),
+		shares:     shares,
+	}
+}
+
+// index returns the document in force, or nil.
+func (a *assembly) index() *document.Index {
+	if current := a.store.Current(); current != nil {
+		return current.Index
+	}
+	return nil
+}
+
 // newRouter returns the router of requests over the assembled parts.
 func (a *assembly) newRouter() *dispatch.Router {
+	a.decisions = a.newDecisions()
 	return &dispatch.Router{
 		FailureDomain: a.settings.FailureDomain,
 		Config:        a.store,
@@ -23,9 +53,14 @@
 		Bookings:      a.bookings,
 		Biller:        a.bills,
 		Cold:          coldstart.New(a.settings.Instance, a.members.EntryIDs),
-		Learner:       &rollout.Watcher{},
+		Learner:       a.decisions.monitor,
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
 		Explanations:  a.explanations,
 		Now:           time.Now,
+		Acceptance:    a.decisions.acceptance,
+		Ratings:       &cascade.RatingHealth{},
+		Gate:          overload.NewGate(time.Now),
+		Shares:        a.decisions.shares,
+		EntryCount:    func() int { return len(a.members.EntryIDs()) },
 	}
 }
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"medlarslip/internal/protocol/platform"
 )
 
@@ -42,6 +44,11 @@
 	answered int
 	failures int
 	latency  time.Duration
+	failedAt time.Time
+	// inFlightAtLoad is inFlight when load was read.
+	inFlightAtLoad int
+	// hash of the ID never changes and is read without the lock.
+	hash uint64
 }
 
 // Snapshot is a copy of the state of a Backend at one moment.
@@ -55,6 +62,10 @@
 	Failures int
 	// Latency is a moving mean of the time to a good answer.
 	Latency time.Duration
+	// FailedAt is when the latest failure was noted.
+	FailedAt time.Time
+	// InFlightAtLoad is InFlight at the moment Load was read.
+	InFlightAtLoad int
 }
 
 // Snapshot returns a copy of the current state.
@@ -68,6 +79,9 @@
 		Answered: b.answered,
 		Failures: b.failures,
 		Latency:  b.latency,
+
+		FailedAt:       b.failedAt,
+		InFlightAtLoad: b.inFlightAtLoad,
 	}
 }
 
@@ -109,6 +123,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.load = load
+	b.inFlightAtLoad = b.inFlight
 }
 
 // update takes over a new description. A new incarnation starts cold.
@@ -144,7 +159,7 @@
 	for _, server := range servers {
 		backend, ok := t.byID[server.ID]
 		if !ok {
-			backend = &Backend{}
+			backend = &Backend{hash: xxhash.Sum64String(server.ID)}
 		}
 		backend.update(server)
 		byID[server.ID] = backend
--- /dev/null
+++ b/internal/state/backends/settle.go
@@ -0,0 +1,49 @@
+package backends
+
+import "time"
+
+// CallResult says what the end of a call tells about the backend server.
+type CallResult int
+
+const (
+	// CallGood means that the server gave a whole answer.
+	CallGood CallResult = iota
+	// CallNeutral means that the end tells nothing of the server's health:
+	// it was full, found fault with the request, or the caller went away.
+	CallNeutral
+	// CallFailed means that the server failed the call.
+	CallFailed
+)
+
+// Settle counts one call less in flight and notes how it ended.
+func (b *Backend) Settle(now time.Time, took time.Duration, result CallResult) {
+	if result != CallNeutral {
+		b.End(took, result == CallGood)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch result {
+	case CallNeutral:
+		b.inFlight--
+	case CallFailed:
+		b.failedAt = now
+	case CallGood:
+		b.failedAt = time.Time{}
+	}
+}
+
+// Hash returns the hash of the server's ID, by which requests that share a
+// prompt prefix meet the same servers.
+func (b *Backend) Hash() uint64 { return b.hash }
+
+// List is the servers of one target, as a routing decision views them.
+type List []*Backend
+
+// Len returns the number of servers.
+func (l List) Len() int { return len(l) }
+
+// Hash returns the hash of one server's ID.
+func (l List) Hash(i int) uint64 { return l[i].Hash() }
+
+// Snapshot returns a copy of the state of one server.
+func (l List) Snapshot(i int) Snapshot { return l[i].Snapshot() }
--- a/internal/state/requests/requests.go
+++ b/internal/state/requests/requests.go
@@ -15,23 +15,59 @@
 	Account   string    `json:"account"`
 	Asked     string    `json:"asked"`
 	Kind      string    `json:"kind"`
+	Session   string    `json:"session,omitempty"`
 	Started   time.Time `json:"started"`
 	TookMS    int64     `json:"took_ms"`
 	// Configuration is the number of the document that decided.
-	Configuration int64     `json:"configuration"`
-	Attempts      []Attempt `json:"attempts"`
-	Steps         []Step    `json:"steps"`
+	Configuration int64 `json:"configuration"`
+	// PlanReason says why the steps were chosen among the options.
+	PlanReason string    `json:"plan_reason,omitempty"`
+	Options    []Option  `json:"options,omitempty"`
+	Attempts   []Attempt `json:"attempts"`
+	Steps      []Step    `json:"steps"`
+	// Micros is the cost of all steps in millionths of the billing currency.
+	Micros int64 `json:"micros"`
 	// Outcome is answered, not_run or unknown.
 	Outcome string `json:"outcome"`
+	// Quality is met, unrated or below_target; empty without an answer.
+	Quality string `json:"quality,omitempty"`
 	Reason  string `json:"reason,omitempty"`
 }
 
+// Option is one step that was weighed and what was expected of it.
+type Option struct {
+	VersionID string `json:"version_id"`
+	Rollout   string `json:"rollout,omitempty"`
+	// Acceptance is the expected share of answers that meet the target, and
+	// AcceptanceLow the lower end of its one-sided 95% interval.
+	Acceptance    float64 `json:"acceptance"`
+	AcceptanceLow float64 `json:"acceptance_low"`
+	// Ratings is the number of ratings behind the expectation.
+	Ratings float64 `json:"ratings"`
+	// Price is that of a thousand tokens, in micros.
+	Price int64 `json:"price_micros"`
+	// ExpectedMS is the expected time; 0 while unknown.
+	ExpectedMS int64 `json:"expected_ms"`
+	Chosen     bool  `json:"chosen"`
+}
+
 // Attempt is one choice of a backend server and what became of it.
 type Attempt struct {
-	Target     string      `json:"target"`
-	Picked     string      `json:"picked,omitempty"`
+	Target string `json:"target"`
+	Picked string `json:"picked,omitempty"`
+	// InView is the number of servers of the target.
+	InView     int         `json:"in_view"`
 	Candidates []Candidate `json:"candidates"`
-	Result     string      `json:"result"`
+	// Left counts the candidates that are not listed, by cause.
+	Left   []LeftOut `json:"left_out,omitempty"`
+	Result string    `json:"result"`
+}
+
+// LeftOut counts candidates that an explanation does not list.
+type LeftOut struct {
+	// Dropped names the filter; empty if none excluded them.
+	Dropped string `json:"dropped,omitempty"`
+	Count   int    `json:"count"`
 }
 
 // Candidate is one backend server that was considered.
@@ -39,6 +75,13 @@
 	ID      string  `json:"id"`
 	Dropped string  `json:"dropped,omitempty"`
 	Score   float64 `json:"score"`
+	// InFlight is the number of calls of this instance at the server.
+	InFlight int `json:"in_flight"`
+	// PrefixCache is true where the prefix of the prompt belongs to it.
+	PrefixCache bool `json:"prefix_cache,omitempty"`
+	// Bound is the number of calls that it may get from this instance while
+	// it is cold or its breaker half open; 0 means none.
+	Bound int `json:"bound,omitempty"`
 }
 
 // Step is one step of a cascade and how it ended.
@@ -48,6 +91,7 @@
 	Rating    float64 `json:"rating,omitempty"`
 	Result    string  `json:"result"`
 	Micros    int64   `json:"micros"`
+	TookMS    int64   `json:"took_ms,omitempty"`
 }
 
 const (
@@ -102,7 +146,29 @@
 	return &l.shards[xxhash.Sum64String(requestID)%shardCount]
 }
 
-// TrimCandidates bounds the candidates of an attempt.
-func TrimCandidates(candidates []Candidate) []Candidate {
-	return candidates[:min(len(candidates), maxCandidates)]
+// TrimCandidates bounds the candidates of an attempt. The picked one is kept,
+// and those left out are counted by cause.
+func TrimCandidates(candidates []Candidate, picked string) ([]Candidate, []LeftOut) {
+	if len(candidates) <= maxCandidates {
+		return candidates, nil
+	}
+	kept := candidates[:maxCandidates]
+	var left []LeftOut
+	for _, candidate := range candidates[maxCandidates:] {
+		if candidate.ID == picked {
+			candidate, kept[maxCandidates-1] = kept[maxCandidates-1], candidate
+		}
+		left = countLeft(left, candidate.Dropped)
+	}
+	return kept, left
+}
+
+func countLeft(left []LeftOut, dropped string) []LeftOut {
+	for i := range left {
+		if left[i].Dropped == dropped {
+			left[i].Count++
+			return left
+		}
+	}
+	return append(left, LeftOut{Dropped: dropped, Count: 1})
 }
--- a/internal/transport/callerapi/chat.go
+++ b/internal/transport/callerapi/chat.go
@@ -37,6 +37,7 @@
 		return refused
 	}
 	setAnswerHeaders(ctx, result.VersionID, result.SessionToken)
+	ctx.Response.Header.Set(HeaderQuality, string(result.Quality))
 	ctx.SetContentType("application/json")
 	ctx.SetBody(result.Body)
 	return nil
--- a/internal/transport/callerapi/server.go
+++ b/internal/transport/callerapi/server.go
@@ -31,6 +31,8 @@
 	HeaderSessionToken = "X-Medlarslip-Session"
 	HeaderKind         = "X-Medlarslip-Kind"
 	HeaderKey          = "Idempotency-Key"
+	// HeaderQuality is met, unrated or below_target.
+	HeaderQuality = "X-Medlarslip-Quality"
 )
 
 // ServicePathPrefix is followed by the name of a plain service and the path
