--- a/internal/coordination/dispatch/chat.go
+++ b/internal/coordination/dispatch/chat.go
@@ -139,6 +139,9 @@
 // plan reads the session token and plans the steps.
 func (r *Router) plan(u *run, call *ChatCall) (*cascade.Plan, session.Token, *refusal.Refusal) {
 	token := session.Token{Account: call.Account.Name, ID: call.RequestID}
+	if refused := r.billable(); refused != nil {
+		return nil, token, refused
+	}
 	if call.SessionToken != "" {
 		read, err := r.Sessions.Read(call.SessionToken, call.Account.Name)
 		if err != nil {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/claims"
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/overload"
 	"medlarslip/internal/coordination/routing"
@@ -37,13 +38,23 @@
 // loss of this instance, or can't for now.
 type Biller interface {
 	Bill(ctx context.Context, bill *records.Bill)
+	// Full reports whether no further bill can be kept, so that new requests
+	// must be refused.
+	Full() bool
 }
 
 // ColdPolicy bounds calls to backend servers that have just started.
 type ColdPolicy interface {
 	// Bound returns how many calls this instance may have in flight to the
-	// server; negative where the server is warm.
+	// server; negative where the server is warm. Where it is positive, each
+	// call also needs a slot.
 	Bound(index *document.Index, server *backends.Snapshot) int
+	// Acquire returns a slot for one call that ends with ctx, or an error
+	// where the server may not be called now.
+	Acquire(ctx context.Context, index *document.Index, server *backends.Snapshot) (coldstart.Slot, error)
+	// Release takes notice of the outcome of a call to any server and gives
+	// back its slot, which is zero for a warm server.
+	Release(slot coldstart.Slot, server string, took time.Duration, good bool)
 }
 
 // Sample is the outcome of one step, by which roll-outs and cascades learn.
--- a/internal/coordination/dispatch/hedge.go
+++ b/internal/coordination/dispatch/hedge.go
@@ -7,6 +7,7 @@
 
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/records"
+	"medlarslip/internal/protocol/refusal"
 )
 
 const (
@@ -27,20 +28,12 @@
 	err    error
 }
 
-// sendIdempotent sends a call that may be repeated. Only reads are hedged.
-func (r *Router) sendIdempotent(ctx context.Context, u *run, call *PlainCall) (*records.KeptAnswer, error) {
-	if isRead(call.Method) {
-		return r.hedgedRead(ctx, u, call)
-	}
-	answer, _, err := r.send(ctx, u, call, false)
-	return answer, err
-}
-
 // hedgedRead sends a read to one server, and to others where it fails or takes
 // far longer than usual (Dean and Barroso, The Tail at Scale, 2013). The first
 // answer counts and ends the other calls. Further calls come out of the retry
 // budget.
-func (r *Router) hedgedRead(ctx context.Context, u *run, call *PlainCall) (*records.KeptAnswer, error) {
+func (r *Router) hedgedRead(ctx context.Context, u *run, call *PlainCall) (*records.KeptAnswer, *refusal.Refusal) {
+	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan hedgeReply, maxAttempts)
@@ -50,7 +43,7 @@
 	var hedge <-chan time.Time
 	for n := 0; ; {
 		if n < maxAttempts && r.mayTry(call.Service.Name, n) {
-			if server := r.acquire(u, call.Service.Name, exclude); server != nil {
+			if server := r.acquire(ctx, u, call.Service.Name, exclude); server != nil {
 				exclude = append(exclude, server.id)
 				hedge = time.After(max(hedgeFactor*server.latency, shortestHedge))
 				pending++
@@ -59,17 +52,20 @@
 			n++
 		}
 		if pending == 0 {
-			return nil, lastErr
+			return nil, serviceRefusal(caller, call, lastErr)
 		}
 		select {
 		case reply := <-replies:
 			pending--
 			u.attempted(resultOf(reply.err))
 			u.mayHaveRun = u.mayHaveRun || pending > 0 || !errors.Is(reply.err, attempt.ErrNotSent)
-			if reply.err == nil || ctx.Err() != nil {
-				return reply.answer, reply.err
+			if reply.err == nil {
+				return reply.answer, nil
 			}
 			lastErr = reply.err
+			if caller.Err() != nil {
+				return nil, serviceRefusal(caller, call, lastErr)
+			}
 		case <-hedge:
 			hedge = nil
 		}
--- a/internal/coordination/dispatch/rate.go
+++ b/internal/coordination/dispatch/rate.go
@@ -72,7 +72,7 @@
 		RequestID: call.RequestID,
 		VersionID: t.step.VersionID,
 		Prompt:    promptText(call.Request.Messages),
-		Answer:    t.answer.Parsed.Choices[0].Message.Content,
+		Answer:    t.text,
 	})
 	if err != nil {
 		r.Ratings.Missing(r.Now())
@@ -96,7 +96,7 @@
 		lateRatingsDropped.Add(1)
 		return
 	}
-	late := &tried{step: t.step, answer: t.answer}
+	late := &tried{step: t.step, text: t.text}
 	go func() {
 		defer r.lateRatings.Add(-1)
 		r.rate(context.Background(), call, plan, i, late)
@@ -109,6 +109,15 @@
 	}()
 }
 
+// rateStream rates a streamed answer after its end, for the next plans: its
+// tokens can't be taken back.
+func (r *Router) rateStream(s *ChatStream) {
+	if s.plan.QualityTarget == 0 || s.fixed || !s.plan.MustRate(s.planned, s.call.RequestID) {
+		return
+	}
+	r.rateLater(s.call, s.plan, s.planned, &tried{step: s.step, text: s.text.String()})
+}
+
 func promptText(messages []openai.Message) string {
 	if len(messages) == 0 {
 		return ""
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/state/backends"
@@ -19,11 +20,12 @@
 	started time.Time
 	// latency is the server's usual time to a good answer; 0 while unknown.
 	latency time.Duration
+	slot    coldstart.Slot
 }
 
 // acquire chooses a backend server and begins a call on it. It returns nil
 // where none may take the work.
-func (r *Router) acquire(run *run, target string, exclude []string) *acquired {
+func (r *Router) acquire(ctx context.Context, run *run, target string, exclude []string) *acquired {
 	servers := backends.List(r.Table.Serving(target))
 	for range maxAttempts {
 		decision := routing.Decide(r.routingRequest(run, target, exclude), servers, newRandom())
@@ -33,14 +35,29 @@
 			return nil
 		}
 		backend := servers[chosen.Index]
-		if backend.Begin(chosen.Bound) {
+		if !backend.Begin(chosen.Bound) {
+			continue
+		}
+		slot, err := r.coldSlot(ctx, run, chosen)
+		if err == nil {
 			server := &chosen.Server
-			return &acquired{backend: backend, id: server.Server.ID, address: server.Server.Address, started: r.Now(), latency: server.Latency}
+			return &acquired{backend: backend, id: server.Server.ID, address: server.Server.Address, started: r.Now(), latency: server.Latency, slot: slot}
 		}
+		backend.Cancel()
+		run.attempted(err.Error())
 	}
 	return nil
 }
 
+// coldSlot returns the slot that a call to a cold server needs; for a warm
+// server it returns the zero slot.
+func (r *Router) coldSlot(ctx context.Context, run *run, chosen *routing.Candidate) (coldstart.Slot, error) {
+	if !chosen.Cold {
+		return coldstart.Slot{}, nil
+	}
+	return r.Cold.Acquire(ctx, run.index, &chosen.Server)
+}
+
 func (r *Router) routingRequest(run *run, target string, exclude []string) *routing.Request {
 	entries := 1
 	if r.EntryCount != nil {
@@ -76,7 +93,11 @@
 
 func (r *Router) settle(a *acquired, result backends.CallResult) {
 	now := r.Now()
-	a.backend.Settle(now, now.Sub(a.started), result)
+	took := now.Sub(a.started)
+	a.backend.Settle(now, took, result)
+	if result != backends.CallNeutral || a.slot != (coldstart.Slot{}) {
+		r.Cold.Release(a.slot, a.id, took, result == backends.CallGood)
+	}
 }
 
 // callResult says what the end of a call tells about the server. One that was
@@ -86,7 +107,9 @@
 	switch {
 	case err == nil:
 		return backends.CallGood
-	case errors.Is(err, attempt.ErrBusy), errors.Is(err, attempt.ErrRejected), errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, attempt.ErrBusy):
+		return backends.CallBusy
+	case errors.Is(err, attempt.ErrRejected), errors.Is(ctx.Err(), context.Canceled):
 		return backends.CallNeutral
 	default:
 		return backends.CallFailed
--- a/internal/coordination/dispatch/step.go
+++ b/internal/coordination/dispatch/step.go
@@ -16,6 +16,7 @@
 type tried struct {
 	step   cascade.Step
 	answer *attempt.Answer
+	text   string
 	took   time.Duration
 	// rated is true where rating holds a rating.
 	rated  bool
@@ -27,7 +28,7 @@
 	var exclude []string
 	lastErr := attempt.ErrNoServer
 	for n := 0; n < maxAttempts && r.mayTry(step.VersionID, n); n++ {
-		server := r.acquire(u, step.VersionID, exclude)
+		server := r.acquire(ctx, u, step.VersionID, exclude)
 		if server == nil {
 			break
 		}
@@ -38,7 +39,7 @@
 			u.mayHaveRun = true
 			took := r.Now().Sub(server.started)
 			r.Acceptance.Answered(call.Kind.Name, step.VersionID, took)
-			return &tried{step: step, answer: answer, took: took}, nil
+			return &tried{step: step, answer: answer, text: answer.Parsed.Choices[0].Message.Content, took: took}, nil
 		}
 		u.noteFailure(err)
 		lastErr = err
--- a/internal/coordination/dispatch/stream.go
+++ b/internal/coordination/dispatch/stream.go
@@ -28,9 +28,12 @@
 	run    *run
 	call   *ChatCall
 	step   cascade.Step
-	ctx    context.Context
-	caller context.Context
-	cancel context.CancelFunc
+	// plan holds the step as its number planned.
+	plan    *cascade.Plan
+	planned int
+	ctx     context.Context
+	caller  context.Context
+	cancel  context.CancelFunc
 
 	server  *acquired
 	stream  attempt.Stream
@@ -66,6 +69,9 @@
 	}
 	for i, step := range plan.Steps {
 		s, refused := r.openStream(ctx, u, call, token, step)
+		if refused == nil {
+			s.plan, s.planned = plan, i
+		}
 		if refused == nil {
 			return s, nil
 		}
@@ -121,7 +127,7 @@
 	if !s.router.mayTry(s.step.VersionID, s.tries) {
 		return attempt.ErrNoServer
 	}
-	s.server = s.router.acquire(s.run, s.step.VersionID, s.exclude)
+	s.server = s.router.acquire(s.ctx, s.run, s.step.VersionID, s.exclude)
 	if s.server == nil {
 		return attempt.ErrNoServer
 	}
@@ -196,6 +202,7 @@
 	s.server = nil
 	s.run.attempted(outcomeAnswered)
 	s.settle(stepAccepted)
+	s.router.rateStream(s)
 	s.run.finish(s.caller, outcomeAnswered, "")
 	s.closed = true
 	return io.EOF
--- a/internal/coordination/dispatch/stream_test.go
+++ b/internal/coordination/dispatch/stream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/coordination/session"
@@ -88,6 +89,8 @@
 	b.bills = append(b.bills, *bill)
 }
 
+func (b *billBook) Full() bool { return false }
+
 func (b *billBook) all() []records.Bill {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -98,6 +101,12 @@
 
 func (alwaysWarm) Bound(*document.Index, *backends.Snapshot) int { return -1 }
 
+func (alwaysWarm) Acquire(context.Context, *document.Index, *backends.Snapshot) (coldstart.Slot, error) {
+	return coldstart.Slot{}, nil
+}
+
+func (alwaysWarm) Release(coldstart.Slot, string, time.Duration, bool) {}
+
 type noLearner struct{}
 
 func (noLearner) Observe(*dispatch.Sample) {}
--- a/internal/coordination/routing/filter.go
+++ b/internal/coordination/routing/filter.go
@@ -65,6 +65,7 @@
 	if candidate.Server.InFlight >= bound {
 		return DroppedCold
 	}
+	candidate.Cold = true
 	candidate.limit(bound)
 	return ""
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -59,6 +59,8 @@
 	Score float64
 	// Affine is true where the prefix of the prompt belongs to the server.
 	Affine bool
+	// Cold is true for a server that is not warm.
+	Cold bool
 	// Bound is the number of calls in flight that the call must be begun
 	// with; 0 means none.
 	Bound int
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -4,12 +4,10 @@
 	"time"
 
 	"medlarslip/internal/coordination/cascade"
-	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/coordination/overload"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/session"
-	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/transport/engine"
 	"medlarslip/internal/transport/plainservice"
 )
@@ -32,14 +30,6 @@
 	}
 }
 
-// index returns the document in force, or nil.
-func (a *assembly) index() *document.Index {
-	if current := a.store.Current(); current != nil {
-		return current.Index
-	}
-	return nil
-}
-
 // newRouter returns the router of requests over the assembled parts.
 func (a *assembly) newRouter() *dispatch.Router {
 	a.decisions = a.newDecisions()
@@ -52,7 +42,7 @@
 		Rater:         a.platform,
 		Bookings:      a.bookings,
 		Biller:        a.bills,
-		Cold:          coldstart.New(a.settings.Instance, a.members.EntryIDs),
+		Cold:          a.cold,
 		Learner:       a.decisions.monitor,
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
 		Explanations:  a.explanations,
@@ -64,3 +54,8 @@
 		EntryCount:    func() int { return len(a.members.EntryIDs()) },
 	}
 }
+
+// rollouts returns how the roll-outs of the document in force stand.
+func (a *assembly) rollouts() []rollout.Status {
+	return a.decisions.monitor.Statuses(func(versionID string) int { return len(a.table.Serving(versionID)) })
+}
--- a/internal/replay/request.go
+++ b/internal/replay/request.go
@@ -102,7 +102,7 @@
 	decision := routing.Decide(&routing.Request{
 		Target: step.VersionID, FailureDomain: f.e.domain, Now: f.w.now, Remaining: remaining, Entries: len(f.w.entries), Exclude: f.exclude,
 		DomainOut: f.w.index.DomainOut,
-		ColdBound: func(s *backends.Snapshot) int { return f.e.cold.Bound(f.w.index, s) },
+		ColdBound: func(s *backends.Snapshot) int { return f.w.coldBound(s) },
 	}, servers, f.w.random)
 	chosen := f.choose(&decision)
 	if chosen == nil {
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"medlarslip/internal/coordination/cascade"
-	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/state/backends"
@@ -52,7 +51,6 @@
 	learner *cascade.Learner
 	monitor *rollout.Monitor
 	ratings cascade.RatingHealth
-	cold    *coldstart.Policy
 	turn    int
 }
 
@@ -138,27 +136,23 @@
 	for i := range w.trace.Header.Entries {
 		names = append(names, fmt.Sprint("entry-", i))
 	}
-	list := func() []string { return names }
 	for i, name := range names {
 		e := &entry{name: name, domain: w.trace.Header.Domains[i%len(w.trace.Header.Domains)], table: backends.NewTable(), learner: cascade.NewLearner()}
 		e.monitor = rollout.New(name, func() *document.Index { return w.index }, nil, func() time.Time { return w.now })
-		e.cold = coldstart.New(name, list)
 		w.entries = append(w.entries, e)
 	}
 	w.applyList()
-	for _, e := range w.entries {
-		for _, backend := range e.table.All() {
-			warm(backend, w.now)
-		}
-	}
 }
 
-// warm gives a server the answers after which it counts as warm.
-func warm(backend *backends.Backend, now time.Time) {
-	for range warmAnswers {
-		backend.Begin(0)
-		backend.Settle(now, 0, backends.CallGood)
+// coldBound stands for the slots that entry instances grant each other: a cold
+// server takes no more than its limit from the whole fleet.
+func (w *world) coldBound(snapshot *backends.Snapshot) int {
+	s := w.servers[snapshot.Server.ID]
+	limit := w.index.ColdLimit(w.index.ModelOf(s.Serves[0]).Name)
+	if s.answered >= limit.WarmAfterRequests {
+		return -1
 	}
+	return snapshot.InFlight + max(0, limit.MaxInFlight-len(s.calls))
 }
 
 // applyList gives all entry instances the list of servers that are up.
--- a/internal/state/backends/settle.go
+++ b/internal/state/backends/settle.go
@@ -9,21 +9,23 @@
 	// CallGood means that the server gave a whole answer.
 	CallGood CallResult = iota
 	// CallNeutral means that the end tells nothing of the server's health:
-	// it was full, found fault with the request, or the caller went away.
+	// it found fault with the request, or the caller went away.
 	CallNeutral
+	// CallBusy means that the server was full.
+	CallBusy
 	// CallFailed means that the server failed the call.
 	CallFailed
 )
 
 // Settle counts one call less in flight and notes how it ended.
 func (b *Backend) Settle(now time.Time, took time.Duration, result CallResult) {
-	if result != CallNeutral {
+	if result == CallGood || result == CallFailed {
 		b.End(took, result == CallGood)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch result {
-	case CallNeutral:
+	case CallNeutral, CallBusy:
 		b.inFlight--
 	case CallFailed:
 		b.failedAt = now
