Spread what instances learn, and write down the decisions

Outcomes of roll-outs, halts and acceptance counts go out by gossip: a halt at once, the rest at a pace that falls with the number of instances.

--- a/internal/coordination/gossip/entry.go
+++ b/internal/coordination/gossip/entry.go
@@ -20,6 +20,11 @@
 	// KindServer entries hold which run of a backend server the instance list
 	// shows and whether it leaves.
 	KindServer Kind = 4
+	// KindOutcomes entries hold what an instance counted of roll-outs, and the
+	// halts that it knows.
+	KindOutcomes Kind = 5
+	// KindAcceptances entries hold what an instance learned of cascades.
+	KindAcceptances Kind = 6
 )
 
 // Entry is one register of the spread state. Of two entries with the same
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -86,6 +86,7 @@
 		return nil, err
 	}
 	a.addFleet()
+	a.addDecisions()
 	a.addBookings()
 	return a, nil
 }
--- /dev/null
+++ b/internal/instance/exchange_test.go
@@ -0,0 +1,47 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/cascade"
+	"medlarslip/internal/coordination/dispatch"
+	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/coordination/rollout"
+	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/settings"
+)
+
+// learner is an assembly with no more than what it learns and spreads.
+func learner(name string, index *document.Index, onEntry func(gossip.Entry, time.Time)) *assembly {
+	a := &assembly{settings: &settings.Entry{Instance: name}, incarnation: "run"}
+	a.gossip = gossip.New(gossip.Config{Self: gossip.Member{ID: name}, Run: "run", OnEntry: onEntry})
+	a.decisions = decisions{acceptance: cascade.NewLearner(), halted: make(chan struct{}, 1)}
+	a.decisions.monitor = rollout.New(name+"/run", func() *document.Index { return index }, &a.decisions, time.Now)
+	return a
+}
+
+func TestInstancesLearnFromEachOther(t *testing.T) {
+	index := document.NewIndex(&document.Document{Rollouts: []document.Rollout{
+		{ID: "roll", Model: "small", From: "small-1", To: "small-2", SharePercent: 10, Stage: document.RolloutActive},
+	}})
+	b := learner("b", index, nil)
+	a := learner("a", index, func(entry gossip.Entry, _ time.Time) { b.onLearned(entry) })
+	key := cascade.Key{Cascade: "draft", Kind: "report", VersionID: "small-1", Account: "technicians"}
+	for range 40 {
+		a.decisions.acceptance.Rated(key, true)
+		a.decisions.monitor.Observe(&dispatch.Sample{VersionID: "small-1", Rollout: "roll", Rated: true, Accepted: true})
+	}
+	a.spreadAcceptances()
+	must.Eq(t, 40, b.decisions.acceptance.Accept(key, 0.5).Observed)
+	a.spreadOutcomes(false)
+	must.False(t, b.decisions.monitor.Halted("roll"))
+	for range 20 {
+		a.decisions.monitor.Observe(&dispatch.Sample{VersionID: "small-2", Rollout: "roll", Rated: true})
+	}
+	<-a.decisions.halted
+	a.spreadOutcomes(true)
+	must.True(t, b.decisions.monitor.Halted("roll"))
+}
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -83,4 +83,5 @@
 	a.members.OnEntry(entry)
 	a.cold.OnEntry(entry)
 	a.watcher.OnEntry(entry, observed)
+	a.onLearned(entry)
 }
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -18,21 +18,21 @@
 	monitor    *rollout.Monitor
 	acceptance *cascade.Learner
 	shares     *overload.Divider
+	// halted asks for a halt to be spread at once.
+	halted chan struct{}
 }
 
-func (a *assembly) newDecisions() decisions {
-	shares := overload.NewDivider(a.settings.Instance, a.members.EntryIDs, time.Now)
-	a.followers = append(a.followers, shares.Run)
-	return decisions{
-		monitor:    rollout.New(a.settings.Instance+"/"+a.incarnation, a.index, nil, time.Now),
-		acceptance: cascade.NewLearner(),
-		shares:     shares,
-	}
+func (a *assembly) addDecisions() {
+	d := &a.decisions
+	d.halted = make(chan struct{}, 1)
+	d.monitor = rollout.New(a.settings.Instance+"/"+a.incarnation, a.index, d, time.Now)
+	d.acceptance = cascade.NewLearner()
+	d.shares = overload.NewDivider(a.settings.Instance, a.members.EntryIDs, time.Now)
+	a.followers = append(a.followers, d.shares.Run, a.exchange)
 }
 
 // newRouter returns the router of requests over the assembled parts.
 func (a *assembly) newRouter() *dispatch.Router {
-	a.decisions = a.newDecisions()
 	return &dispatch.Router{
 		FailureDomain: a.settings.FailureDomain,
 		Config:        a.store,
