--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"medlarslip/internal/protocol/platform"
 )
 
@@ -55,6 +57,11 @@
 	answered int
 	failures int
 	latency  time.Duration
+	failedAt time.Time
+	// inFlightAtLoad is inFlight when load was read.
+	inFlightAtLoad int
+	// hash of the ID never changes and is read without the lock.
+	hash uint64
 }
 
 // Snapshot is a copy of the state of a Backend at one moment.
@@ -69,6 +76,10 @@
 	Failures int
 	// Latency is a moving mean of the time to a good answer.
 	Latency time.Duration
+	// FailedAt is when the latest failure was noted.
+	FailedAt time.Time
+	// InFlightAtLoad is InFlight at the moment Load was read.
+	InFlightAtLoad int
 }
 
 // Snapshot returns a copy of the current state.
@@ -83,6 +94,9 @@
 		Answered: b.answered,
 		Failures: b.failures,
 		Latency:  b.latency,
+
+		FailedAt:       b.failedAt,
+		InFlightAtLoad: b.inFlightAtLoad,
 	}
 }
 
@@ -134,6 +148,7 @@
 		return
 	}
 	b.load = load
+	b.inFlightAtLoad = b.inFlight
 }
 
 // update takes over a new description. A new incarnation starts cold.
@@ -192,7 +207,7 @@
 	for _, server := range servers {
 		backend, ok := t.byID[server.ID]
 		if !ok {
-			backend = &Backend{}
+			backend = &Backend{hash: xxhash.Sum64String(server.ID)}
 		}
 		backend.update(server)
 		byID[server.ID] = backend
