--- a/internal/transport/callerapi/callerapi_test.go
+++ b/internal/transport/callerapi/callerapi_test.go
@@ -203,9 +203,9 @@
 			must.NoError(t, err)
 			defer func() { _ = c.Close() }()
 			must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-			_, err = io.WriteString(c, text)
-			must.NoError(t, err)
-			must.NoError(t, c.(*net.TCPConn).CloseWrite())
+			// The server may close the connection before all is written.
+			_, _ = io.WriteString(c, text)
+			_ = c.(*net.TCPConn).CloseWrite()
 			answer, _ := io.ReadAll(bufio.NewReader(c))
 			must.StrNotContains(t, string(answer), "10.0.0.1:8100")
 			must.Eq(t, 200, do(t, address, "GET", entries.Path, "", "").StatusCode())
