--- a/internal/transport/console/publish_test.go
+++ b/internal/transport/console/publish_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -143,6 +144,10 @@
 }
 
 func TestPublishWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, publishWhileTheLogIsDown)
+}
+
+func publishWhileTheLogIsDown(t *testing.T) {
 	f := newTestFleet(t)
 	b := f.signIn()
 	f.log.SetOutage(true)
@@ -160,38 +165,47 @@
 }
 
 // TestPublishWithUnknownOutcome loses the answer of the log service after or
-// before its effect, with reads failing as well.
+// before its effect, with reads failing as well. Time is virtual, since a
+// publisher may try again until its time is up.
 func TestPublishWithUnknownOutcome(t *testing.T) {
 	for _, fault := range []logservice.Fault{logservice.FaultLoseAnswer, logservice.FaultLoseRequest} {
 		for _, again := range []bool{true, false} {
-			f := newTestFleet(t)
-			b := f.signIn()
-			b.takeOut("wdh-b")
-			f.log.OnAppend(func(string, []json.RawMessage) logservice.Fault { return fault })
-			f.log.OnRead(func(string, int64) logservice.Fault { return logservice.FaultRefuse })
-			got := b.publish("storm")
-			must.Eq(t, fasthttp.StatusConflict, got.status)
-			mustContain(t, got.body, "It is not known yet whether your document is published")
-			f.log.SetOutage(false)
-			if again {
-				must.Eq(t, f.server.root+"/published", b.publish("storm").location)
-				must.Eq(t, 2, f.inForce().Envelope.Number)
-				continue
-			}
-			f.refresh()
-			page := b.get("/draft").body
-			if fault == logservice.FaultLoseAnswer {
-				mustContain(t, page, "Your document was accepted after all")
-			} else {
-				mustContain(t, page, "Sign as anna and publish")
-			}
+			synctest.Test(t, func(t *testing.T) { publishWithUnknownOutcome(t, fault, again) })
 		}
 	}
 }
 
+func publishWithUnknownOutcome(t *testing.T, fault logservice.Fault, again bool) {
+	f := newTestFleet(t)
+	b := f.signIn()
+	b.takeOut("wdh-b")
+	f.log.OnAppend(func(string, []json.RawMessage) logservice.Fault { return fault })
+	f.log.OnRead(func(string, int64) logservice.Fault { return logservice.FaultRefuse })
+	got := b.publish("storm")
+	must.Eq(t, fasthttp.StatusConflict, got.status)
+	mustContain(t, got.body, "It is not known yet whether your document is published")
+	f.log.SetOutage(false)
+	if again {
+		must.Eq(t, f.server.root+"/published", b.publish("storm").location)
+		must.Eq(t, 2, f.inForce().Envelope.Number)
+		return
+	}
+	f.refresh()
+	page := b.get("/draft").body
+	if fault == logservice.FaultLoseAnswer {
+		mustContain(t, page, "Your document was accepted after all")
+	} else {
+		mustContain(t, page, "Sign as anna and publish")
+	}
+}
+
 // TestSameDocumentByColleague has a colleague publish the very text whose
 // publishing by anna had an unknown outcome: it is not hers.
 func TestSameDocumentByColleague(t *testing.T) {
+	synctest.Test(t, sameDocumentByColleague)
+}
+
+func sameDocumentByColleague(t *testing.T) {
 	f := newTestFleet(t)
 	b := f.signIn()
 	b.takeOut("wdh-b")
