--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"medlarslip/internal/coordination/audit"
 	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/coordination/overload"
@@ -20,11 +21,14 @@
 	shares     *overload.Divider
 	// halted asks for a halt to be spread at once.
 	halted chan struct{}
+	// trail keeps the audit records of halts; nil keeps none.
+	trail *audit.Trail
 }
 
 func (a *assembly) addDecisions() {
 	d := &a.decisions
 	d.halted = make(chan struct{}, 1)
+	d.trail = a.trail
 	d.monitor = rollout.New(a.settings.Instance+"/"+a.incarnation, a.index, d, time.Now)
 	d.acceptance = cascade.NewLearner()
 	d.shares = overload.NewDivider(a.settings.Instance, a.members.EntryIDs, time.Now)
@@ -42,6 +46,7 @@
 		Rater:         a.platform,
 		Bookings:      a.bookings,
 		Biller:        a.bills,
+		BillsFull:     a.bills.Full,
 		Cold:          a.cold,
 		Learner:       a.decisions.monitor,
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
