--- a/internal/instance/exchange.go
+++ b/internal/instance/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"medlarslip/internal/coordination/audit"
 	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/gossip"
 	"medlarslip/internal/coordination/rollout"
@@ -95,8 +96,16 @@
 	}
 }
 
-// RecordHalt implements rollout.Recorder: it has the halt spread at once.
-func (d *decisions) RecordHalt(rollout.Halt) {
+// RecordHalt implements rollout.Recorder: it has the halt spread at once and
+// writes it to the audit trail.
+func (d *decisions) RecordHalt(halt rollout.Halt) {
+	if d.trail != nil {
+		d.trail.Record(audit.Change{
+			Action:  "halt",
+			Subject: halt.Rollout + "/" + halt.VersionID,
+			Reason:  "the new version is worse by " + halt.Cause,
+		})
+	}
 	select {
 	case d.halted <- struct{}{}:
 	default:
