--- a/internal/instance/coldstart_test.go
+++ b/internal/instance/coldstart_test.go
@@ -10,8 +10,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/localfleet"
 )
 
+// answerLimit bounds the wait for all answers; a test that reaches it fails.
+const answerLimit = 30 * time.Second
+
 // A cold engine falls over as soon as more than its limit run at once,
 // whichever instances send them.
 func TestThreeInstancesTogetherSendAColdEngineNoMoreThanItBears(t *testing.T) {
@@ -20,24 +24,24 @@
 		answers = 3 // of each caller
 	)
 	engine := engineserver.New(engineserver.Config{
-		Tokens: answerTokens, TokenTime: time.Millisecond, MaxRunning: 1000, Resumable: true, ColdLimit: 2, ColdAnswers: 10,
+		Tokens: localfleet.AnswerTokens, TokenTime: time.Millisecond, MaxRunning: 1000, Resumable: true, ColdLimit: 2, ColdAnswers: 10,
 	})
-	f := newFleetWith(t, engine)
-	f.publish(strings.Replace(fleetDocument, "cold_limits: []", "cold_limits:\n  - {target: small, max_in_flight: 2, warm_after_requests: 10}", 1))
+	f := localfleet.NewWith(t, engine)
+	f.Publish(strings.Replace(localfleet.Document, "cold_limits: []", "cold_limits:\n  - {target: small, max_in_flight: 2, warm_after_requests: 10}", 1))
 	var addresses []string
 	for _, id := range []string{"entry-1", "entry-2", "entry-3"} {
-		addresses = append(addresses, f.start(id).callers)
+		addresses = append(addresses, f.Start(id).Callers)
 	}
-	deadline := time.Now().Add(startLimit)
+	deadline := time.Now().Add(answerLimit)
 	var group errgroup.Group
 	for i := range callers {
 		group.Go(func() error {
 			for good := 0; good < answers && time.Now().Before(deadline); {
-				r, err := call(addresses[i%len(addresses)], fasthttp.MethodPost, "/v1/chat/completions", chatBody(false), "")
+				r, err := localfleet.Call(addresses[i%len(addresses)], fasthttp.MethodPost, "/v1/chat/completions", localfleet.ChatBody(false), "")
 				if err != nil {
 					return err
 				}
-				if r.status == fasthttp.StatusOK {
+				if r.Status == fasthttp.StatusOK {
 					good++
 					continue
 				}
@@ -49,5 +53,5 @@
 	must.NoError(t, group.Wait())
 	must.Eq(t, 0, engine.Falls())
 	must.Greater(t, 2, engine.Peak(), must.Sprint("once warm it bears more"))
-	f.stopAll()
+	f.StopAll()
 }
