Copy bills at once instead of lingering for company

A bill waited one millisecond for others before its copy left, and one copy was under way at a time; every answer paid for both. Now a copy leaves at once, up to four are under way, and bills that come meanwhile travel together.

--- a/internal/coordination/billing/gather.go
+++ b/internal/coordination/billing/gather.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// copyLinger is the wait for further bills of one copy.
-	copyLinger = time.Millisecond
+	// maxCopies bounds the copies under way at one time. Bills that come
+	// while all are under way travel together in the next.
+	maxCopies = 4
 	// surviveWait bounds how long an answer waits for its bill.
 	surviveWait = 2 * time.Second
 	// maxCopy bounds the bills of one copy.
@@ -25,7 +26,7 @@
 	mu      sync.Mutex
 	bills   []records.Bill
 	waiters []chan error
-	running bool
+	running int
 }
 
 func newGatherer(copier Copier) *gatherer { return &gatherer{copier: copier} }
@@ -35,8 +36,8 @@
 	g.mu.Lock()
 	g.bills = append(g.bills, bill)
 	g.waiters = append(g.waiters, done)
-	if !g.running {
-		g.running = true
+	if g.running < maxCopies {
+		g.running++
 		go g.run()
 	}
 	g.mu.Unlock()
@@ -50,7 +51,6 @@
 
 func (g *gatherer) run() {
 	for {
-		time.Sleep(copyLinger)
 		bills, waiters := g.take()
 		if len(bills) == 0 {
 			return
@@ -69,7 +69,7 @@
 	defer g.mu.Unlock()
 	count := min(len(g.bills), maxCopy)
 	if count == 0 {
-		g.running = false
+		g.running--
 		return nil, nil
 	}
 	bills, waiters := g.bills[:count:count], g.waiters[:count:count]
--- a/internal/instance/path_bench_test.go
+++ b/internal/instance/path_bench_test.go
@@ -60,6 +60,7 @@
 		f.AddBackend("bench-"+string(rune('a'+i)), platform.RoleEngine, address, "small-1", "large-1")
 	}
 	entry := f.Start("entry-1")
+	f.Start("entry-2") // in another failure domain, to hold copies of bills
 	b.Cleanup(f.StopAll)
 	return map[string]string{
 		"direct":    addresses[0],
