--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -60,6 +60,23 @@
 	})
 }
 
+// On a busy machine exchanges take long. They must not lead to calls of ever
+// more members, each of which costs a connection, nor to accusations.
+func TestSlowExchangesOpenNoMoreConnections(t *testing.T) {
+	inVirtualTime(t, 30, func(net *network) {
+		net.mu.Lock()
+		net.delay = 1500 * time.Millisecond
+		before := len(net.pairs)
+		net.mu.Unlock()
+		time.Sleep(time.Minute)
+		net.mu.Lock()
+		after := len(net.pairs)
+		net.mu.Unlock()
+		must.Eq(t, before, after)
+		net.allSee(t, gossip.StateAlive, 30)
+	})
+}
+
 func TestRegionsApartForAnHourMeetAgainAndRevertNothing(t *testing.T) {
 	inVirtualTime(t, 8, func(net *network) {
 		north := func(name string) bool { return name < id(4) }
--- a/internal/coordination/gossip/node.go
+++ b/internal/coordination/gossip/node.go
@@ -19,8 +19,9 @@
 const (
 	// exchangeInterval is the time between two exchanges with one neighbour.
 	exchangeInterval = time.Second
-	// exchangeTimeout bounds one exchange.
-	exchangeTimeout = 800 * time.Millisecond
+	// exchangeTimeout bounds one exchange, a new connection included. On a
+	// busy machine a shorter one fails and costs another connection.
+	exchangeTimeout = 2500 * time.Millisecond
 	// urgentInterval is the shortest time between two rounds of urgent
 	// exchanges with all neighbours.
 	urgentInterval = 50 * time.Millisecond
@@ -80,6 +81,10 @@
 	rotation  int
 	revivedAt time.Time
 	changed   []changedEntry
+	// asking is true while others are asked to probe a member. One member at
+	// a time is doubted, so that a busy instance does not open connections to
+	// ever more helpers.
+	asking bool
 
 	urgent chan struct{}
 	// calls counts exchanges that were begun and have not ended.
--- a/internal/coordination/gossip/probe.go
+++ b/internal/coordination/gossip/probe.go
@@ -87,6 +87,12 @@
 // answer here.
 func (n *Node) probedByOthers(ctx context.Context, member Member) bool {
 	n.mu.Lock()
+	if n.asking {
+		n.mu.Unlock()
+		return true // doubted again at its next failure
+	}
+	n.asking = true
+	defer n.doneAsking()
 	helpers := n.helpersLocked(member.ID)
 	request := message{From: n.self.ID, Run: n.config.Run, Probe: member.Control}
 	n.mu.Unlock()
@@ -111,6 +117,12 @@
 	return false
 }
 
+func (n *Node) doneAsking() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asking = false
+}
+
 // noteProbe reads the answer of a helper; the helper itself was reached.
 func (n *Node) noteProbe(answer []byte, member string) bool {
 	n.mu.Lock()
