--- a/internal/coordination/claims/follow.go
+++ b/internal/coordination/claims/follow.go
@@ -121,3 +121,6 @@
 	case <-ctx.Done():
 	}
 }
+
+// Position returns the offset behind the last record read.
+func (c *Coordinator) Position() int64 { return c.next.Load() }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -54,7 +54,7 @@
 	callers := &callerapi.Server{Router: parts.newRouter(), Config: parts.store, Entries: parts.members, Closing: in.drainer.Closing}
 	in.callers = newServer(s, callers.Handle)
 	in.callers.ErrorHandler = callers.HandleError
-	admin := &adminapi.Server{Instance: s.Instance, Config: parts.store, Explanations: parts.explanations, Leaving: in.drainer.Closing}
+	admin := &adminapi.Server{Instance: s.Instance, Config: parts.store, Explanations: parts.explanations, Leaving: in.drainer.Closing, Rollouts: parts.rollouts}
 	in.admin = newServer(s, admin.Handle)
 	return in, nil
 }
