--- a/internal/coordination/claims/batch.go
+++ b/internal/coordination/claims/batch.go
@@ -31,12 +31,16 @@
 	Timeout time.Duration
 }
 
-// DefaultBatchOptions returns the options of the claims stream. 16 shard
-// owners make 160 appends a second at most, but for bursts.
+// fleetAppends bounds the appends a second to the claims stream by all shard
+// owners together, but for bursts.
+const fleetAppends = 160
+
+// DefaultBatchOptions returns the options of one of ShardCount owners of the
+// claims stream.
 func DefaultBatchOptions() BatchOptions {
 	return BatchOptions{
 		Linger:     2 * time.Millisecond,
-		PerSecond:  10,
+		PerSecond:  fleetAppends / ShardCount,
 		Burst:      10,
 		MaxRecords: 500,
 		MaxBytes:   1 << 20,
@@ -73,6 +77,9 @@
 	return &Batcher{sink: sink, options: options, limiter: rate.NewLimiter(limit, options.Burst)}
 }
 
+// SetPerSecond changes the bound of the appends.
+func (b *Batcher) SetPerSecond(perSecond float64) { b.limiter.SetLimit(rate.Limit(perSecond)) }
+
 // Append appends records with a batch. The error is of the kind
 // eventlog.ErrNotAppended or eventlog.ErrAppendUnknown. Records whose ctx
 // ends before their batch begins are not appended.
--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -148,6 +148,8 @@
 					must.Nil(t, unseen)
 					return
 				}
+				must.NotNil(t, refused)
+				must.NotNil(t, unseen)
 				must.Eq(t, refusal.Unknown, refused.Outcome)
 				must.Eq(t, refusal.Unknown, unseen.Outcome)
 			})
@@ -179,3 +181,36 @@
 		must.True(t, sent)
 	})
 }
+
+// TestSameKeyOfTwoAccountsIsNotSettledByStatus lets one account book, and the
+// other lose its call under the same key before it reaches the service.
+func TestSameKeyOfTwoAccountsIsNotSettledByStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := start(logservice.New(0), "entry-1")
+		defer stop()
+		_, refused := c.Do(t.Context(), callOf("key"), answered)
+		must.Nil(t, refused)
+		other := callOf("key")
+		other.Account = "planners"
+		other.Status = func(context.Context) (*records.KeptAnswer, error) { return &records.KeptAnswer{Status: 200}, nil }
+		_, refused = c.Do(t.Context(), other, func(context.Context) (*records.KeptAnswer, bool, error) { return nil, true, errNoAnswer })
+		must.Eq(t, refusal.Unknown, refused.Outcome)
+	})
+}
+
+// TestAnswerTooLongToKeepIsToldOnce repeats a call with a long answer.
+func TestAnswerTooLongToKeepIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := start(logservice.New(0), "entry-1")
+		defer stop()
+		long := make([]byte, 1<<20)
+		got, refused := c.Do(t.Context(), callOf("key"), func(context.Context) (*records.KeptAnswer, bool, error) {
+			return &records.KeptAnswer{Status: 201, Body: long}, true, nil
+		})
+		must.Nil(t, refused)
+		must.Len(t, len(long), got.Body)
+		synctest.Wait()
+		_, refused = c.Do(t.Context(), callOf("key"), mustNotSend(t))
+		must.Eq(t, refusal.Unknown, refused.Outcome)
+	})
+}
--- a/internal/coordination/claims/owner.go
+++ b/internal/coordination/claims/owner.go
@@ -153,6 +153,7 @@
 			a.owners[i] = ownerOf(i, instances)
 		}
 		a.forgetGone(instances)
+		a.local.SetPerSecond(float64(fleetAppends) / float64(max(1, min(ShardCount, len(instances)))))
 	}
 	return a.owners[shard]
 }
