--- a/internal/coordination/membership/entries.go
+++ b/internal/coordination/membership/entries.go
@@ -48,6 +48,17 @@
 	return instances
 }
 
+// PeerAddresses returns the control addresses of the other entry instances.
+func (m *Members) PeerAddresses() []string {
+	addresses := []string{}
+	for _, member := range m.live() {
+		if member.ID != m.config.Self.ID {
+			addresses = append(addresses, member.Control)
+		}
+	}
+	return addresses
+}
+
 // ControlAddress returns where a live entry instance listens to its peers.
 func (m *Members) ControlAddress(id string) (string, bool) {
 	for _, member := range m.live() {
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/xid"
 
+	"medlarslip/internal/coordination/audit"
 	"medlarslip/internal/coordination/billing"
 	"medlarslip/internal/coordination/claims"
 	"medlarslip/internal/coordination/coldstart"
@@ -44,6 +45,8 @@
 	peerServer   *peer.Server
 	peerClient   *peer.Client
 	store        *configuration.Store
+	budget       *eventlog.Budget
+	trail        *audit.Trail
 	table        *backends.Table
 	gossip       *gossip.Node
 	members      *membership.Members
@@ -52,6 +55,7 @@
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
 	explanations *requests.Log
+	decisions    decisions
 
 	// followers run until the last request is answered.
 	followers []part
@@ -85,6 +89,7 @@
 		return nil, err
 	}
 	a.addFleet()
+	a.addDecisions()
 	a.addBookings()
 	return a, nil
 }
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -3,13 +3,38 @@
 import (
 	"time"
 
+	"medlarslip/internal/coordination/audit"
+	"medlarslip/internal/coordination/cascade"
 	"medlarslip/internal/coordination/dispatch"
+	"medlarslip/internal/coordination/overload"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/session"
 	"medlarslip/internal/transport/engine"
 	"medlarslip/internal/transport/plainservice"
 )
 
+// decisions holds what an instance learns from its requests. Monitor and
+// acceptance are exchanged with the other instances by Export and Merge.
+type decisions struct {
+	monitor    *rollout.Monitor
+	acceptance *cascade.Learner
+	shares     *overload.Divider
+	// halted asks for a halt to be spread at once.
+	halted chan struct{}
+	// trail keeps the audit records of halts; nil keeps none.
+	trail *audit.Trail
+}
+
+func (a *assembly) addDecisions() {
+	d := &a.decisions
+	d.halted = make(chan struct{}, 1)
+	d.trail = a.trail
+	d.monitor = rollout.New(a.settings.Instance+"/"+a.incarnation, a.index, d, time.Now)
+	d.acceptance = cascade.NewLearner()
+	d.shares = overload.NewDivider(a.settings.Instance, a.members.EntryIDs, time.Now)
+	a.followers = append(a.followers, d.shares.Run, a.exchange)
+}
+
 // newRouter returns the router of requests over the assembled parts.
 func (a *assembly) newRouter() *dispatch.Router {
 	return &dispatch.Router{
@@ -23,9 +48,19 @@
 		Biller:        a.bills,
 		BillsFull:     a.bills.Full,
 		Cold:          a.cold,
-		Learner:       &rollout.Watcher{},
+		Learner:       a.decisions.monitor,
 		Sessions:      session.NewSigner(a.sharedKey, time.Now),
 		Explanations:  a.explanations,
 		Now:           time.Now,
+		Acceptance:    a.decisions.acceptance,
+		Ratings:       &cascade.RatingHealth{},
+		Gate:          overload.NewGate(time.Now),
+		Shares:        a.decisions.shares,
+		EntryCount:    func() int { return len(a.members.EntryIDs()) },
 	}
 }
+
+// rollouts returns how the roll-outs of the document in force stand.
+func (a *assembly) rollouts() []rollout.Status {
+	return a.decisions.monitor.Statuses(func(versionID string) int { return len(a.table.Serving(versionID)) })
+}
--- a/internal/protocol/strictyaml/strictyaml.go
+++ b/internal/protocol/strictyaml/strictyaml.go
@@ -59,6 +59,9 @@
 // Decode decodes text into the struct that out points to. The error is a
 // FieldErrors or of the kind ErrInvalid.
 func Decode(text []byte, out any) error {
+	if err := checkNesting(text); err != nil {
+		return err
+	}
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		return syntaxError(err)
@@ -110,7 +113,9 @@
 func (c *keyChecker) check(node ast.Node, typ reflect.Type, path string) {
 	switch typ.Kind() {
 	case reflect.Pointer:
-		c.check(node, typ.Elem(), path)
+		if _, isNull := node.(*ast.NullNode); !isNull {
+			c.check(node, typ.Elem(), path)
+		}
 	case reflect.Struct:
 		c.checkStruct(node, typ, path)
 	case reflect.Slice:
--- a/internal/transport/console/forms_test.go
+++ b/internal/transport/console/forms_test.go
@@ -168,10 +168,31 @@
 	b.post("/withdrawals", "state-small-1", "no")
 	mustContain(t, b.get("/draft").body, "Version small-1 is withdrawn")
 	b.post("/withdrawals")
-	b.post("/domains")
+	mustContain(t, b.get("/draft").body, "Version small-1 is withdrawn")
+	b.post("/withdrawals", "state-small-1", "yes")
+	b.post("/halts", "state-small-2-trial", "no")
+	mustContain(t, b.get("/draft").body, "Roll-out small-2-trial is halted")
+	b.post("/halts", "state-small-2-trial", "yes")
+	b.post("/domains", "state-wdh-a", "yes")
 	mustContain(t, b.get("/draft").body, "You have changed nothing")
 }
 
+func TestFaultElsewhereKeepsFormFromBeingSaved(t *testing.T) {
+	f := newTestFleet(t)
+	b := f.signIn()
+	b.takeOut("wdh-b")
+	got := b.post("/item", "of", "failure_domains", "item", "wdh-a", "out", "yes")
+	must.Eq(t, fasthttp.StatusUnprocessableEntity, got.status)
+	mustContain(t, got.body, "Not saved.", "failure domains: all are out")
+	must.False(t, f.server.sessions.get(b.cookie).draft.doc.FailureDomains[0].Out)
+}
+
+func TestSecretIsTakenOutOfTheForm(t *testing.T) {
+	v := newValues(url.Values{"new_key": {testKey}})
+	must.Eq(t, document.HashKey(testKey), v.secretHash("new_key"))
+	must.MapEmpty(t, v.form)
+}
+
 // TestFirstDocumentByForms builds a whole document from nothing.
 func TestFirstDocumentByForms(t *testing.T) {
 	f := newEmptyFleet(t)
@@ -215,6 +236,14 @@
 	}
 }
 
+func TestNothingIsChosenInPlaceOfTheOperator(t *testing.T) {
+	b := newTestFleet(t).signIn()
+	got := b.get("/item?of=cascades").body
+	mustContain(t, got, `name="quality_target" type="text" value=""`)
+	got = b.get("/item?of=rollouts").body
+	mustContain(t, got, `<option value="" selected>choose one</option><option value="small-1">`)
+}
+
 func FuzzForm(f *testing.F) {
 	for _, tc := range formCases() {
 		f.Add(tc.of, tc.item, strings.ReplaceAll(tc.form, " ", "&"))
