--- a/internal/coordination/dispatch/service.go
+++ b/internal/coordination/dispatch/service.go
@@ -36,8 +36,16 @@
 		return nil, refused
 	}
 	u := r.newRun(call.RequestID, call.Service.Name, call.Method, call.Account, call.Config.Index, call.Config.Envelope.Number)
-	deadline, cancel := context.WithTimeout(ctx, time.Duration(call.Service.TimeoutMillis)*time.Millisecond)
+	u.deadline = u.started.Add(time.Duration(call.Service.TimeoutMillis) * time.Millisecond)
+	deadline, cancel := context.WithTimeout(ctx, u.remaining())
 	defer cancel()
+	// A call that may not be repeated is never shed: where an earlier try with
+	// its key has run, only the claim can say so.
+	if !nonIdempotent(call) {
+		if refused := r.admit(deadline, u, servicePriority, 0); refused != nil {
+			return nil, u.refuse(ctx, refused)
+		}
+	}
 	answer, refused := r.callService(deadline, u, call)
 	if refused != nil {
 		if u.mayHaveRun {
@@ -54,7 +62,10 @@
 	if nonIdempotent(call) {
 		return r.book(ctx, u, call)
 	}
-	result := r.send(ctx, u, call, isRead(call.Method))
+	if isRead(call.Method) {
+		return r.hedgedRead(ctx, u, call)
+	}
+	result := r.send(ctx, u, call, false)
 	if result.err != nil {
 		return nil, serviceRefusal(ctx, call, result.err)
 	}
@@ -106,11 +117,8 @@
 		if server == nil {
 			break
 		}
-		answer, err := r.Services.Do(ctx, &attempt.ServiceCall{
-			Address: server.address, Method: call.Method, Path: withQuery(call), ContentType: call.ContentType,
-			Body: call.Body, RequestID: call.RequestID, IdempotencyKey: call.Key,
-		})
-		r.release(server, err == nil)
+		answer, err := r.Services.Do(ctx, newServiceCall(call, server.address))
+		r.settle(server, callResult(ctx, err))
 		u.attempted(resultOf(err))
 		if err == nil {
 			return sent{answer: answer, address: server.address, mayHaveRun: true}
@@ -126,6 +134,13 @@
 	return last
 }
 
+func newServiceCall(call *PlainCall, address string) *attempt.ServiceCall {
+	return &attempt.ServiceCall{
+		Address: address, Method: call.Method, Path: withQuery(call), ContentType: call.ContentType,
+		Body: call.Body, RequestID: call.RequestID, IdempotencyKey: call.Key,
+	}
+}
+
 func withQuery(call *PlainCall) string {
 	if call.Query == "" {
 		return call.Path
--- a/internal/instance/assembly.go
+++ b/internal/instance/assembly.go
@@ -55,6 +55,7 @@
 	bookings     *claims.Coordinator
 	bills        *billing.Writer
 	explanations *requests.Log
+	decisions    decisions
 
 	// followers run until the last request is answered.
 	followers []part
@@ -88,6 +89,7 @@
 		return nil, err
 	}
 	a.addFleet()
+	a.addDecisions()
 	a.addBookings()
 	return a, nil
 }
--- a/internal/protocol/document/items.go
+++ b/internal/protocol/document/items.go
@@ -170,10 +170,17 @@
 		{"from", "old version", r.From},
 		{"to", "new version", r.To},
 		{"share_percent", "share of the new version", strconv.Itoa(r.SharePercent) + " %"},
-		{"stage", "stage", string(r.Stage)},
+		{"stage", "stage", stageWords(r.Stage)},
 	}}
 }
 
+func stageWords(stage RolloutStage) string {
+	if stage == RolloutDone {
+		return "finished"
+	}
+	return string(stage)
+}
+
 func accountItem(a ClientAccount) Item {
 	return Item{SectionAccounts, a.Name, []Property{
 		{"key_hashes", "hashes of its API keys", list(a.KeyHashes)},
@@ -225,11 +232,29 @@
 	return fmt.Sprintf("%d ms (%s)", n, time.Duration(n)*time.Millisecond)
 }
 
-func list(values []string) string { return orNone(strings.Join(values, ", ")) }
+func list(values []string) string { return orNone(strings.Join(values, listSeparator)) }
+
+// listProperties are the keys of fields that hold a list without an order.
+var listProperties = map[string]bool{
+	"key_hashes": true, "allowed_versions": true, "allowed_services": true, "non_idempotent": true,
+}
+
+const (
+	listSeparator = ", "     // no entry of a list holds a space after a comma
+	noEntry       = "(none)" // no name and no path reads like this
+)
+
+// splitList returns the entries of a described list.
+func splitList(value string) []string {
+	if value == noEntry {
+		return nil
+	}
+	return strings.Split(value, listSeparator)
+}
 
 func orNone(s string) string {
 	if s == "" {
-		return "none"
+		return noEntry
 	}
 	return s
 }
--- a/internal/transport/adminapi/adminapi.go
+++ b/internal/transport/adminapi/adminapi.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"medlarslip/internal/coordination/configuration"
+	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/state/requests"
 )
 
@@ -19,6 +20,7 @@
 	MetricsPath       = "/debug/vars"
 	HealthPath        = "/health"
 	StatusPath        = "/status"
+	RolloutsPath      = "/rollouts"
 	ExplainPathPrefix = "/explain/"
 )
 
@@ -48,6 +50,8 @@
 	Config       *configuration.Store
 	Explanations *requests.Log
 	Leaving      func() bool
+	// Rollouts returns how the roll-outs stand, with halts and stalls.
+	Rollouts func() []rollout.Status
 }
 
 // Handle is the fasthttp handler of the pages.
@@ -60,10 +64,12 @@
 		s.health(ctx)
 	case path == StatusPath:
 		writeJSON(ctx, s.status())
+	case path == RolloutsPath:
+		writeJSON(ctx, s.Rollouts())
 	case strings.HasPrefix(path, ExplainPathPrefix):
 		s.explain(ctx, strings.TrimPrefix(path, ExplainPathPrefix))
 	default:
-		ctx.Error("no such page; use "+MetricsPath+", "+HealthPath+", "+StatusPath+" or "+ExplainPathPrefix+"REQUEST-ID", fasthttp.StatusNotFound)
+		ctx.Error("no such page; use "+MetricsPath+", "+HealthPath+", "+StatusPath+", "+RolloutsPath+" or "+ExplainPathPrefix+"REQUEST-ID", fasthttp.StatusNotFound)
 	}
 }
 
