Share the command line of the long-running programs

Entry instance and console had the same flags, signals and exit written twice; package daemon has them once.

--- a/cmd/medlarslip-console/main.go
+++ b/cmd/medlarslip-console/main.go
@@ -4,58 +4,45 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/daemon"
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/transport/console"
-	"medlarslip/internal/version"
 )
 
-func main() {
-	path := flag.String("settings", "", "path of the YAML settings")
-	check := flag.Bool("check", false, "check the settings and the operator's key, and exit")
-	showVersion := flag.Bool("version", false, "print the version and exit")
-	flag.Parse()
-	merry.SetStackCaptureEnabled(false)
-	if *showVersion {
-		fmt.Println(version.String())
-		return
-	}
-	if err := run(*path, *check); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+func main() { daemon.Main(load) }
+
+// program serves the console at the address of its settings.
+type program struct {
+	settings *settings.Console
+	server   *console.Server
 }
 
-func run(path string, check bool) error {
+func load(path string) (daemon.Program, error) {
 	s, err := settings.LoadConsole(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	server, err := console.FromSettings(s, announce)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if check {
-		fmt.Println("settings are valid")
-		return nil
-	}
-	listener, err := net.Listen("tcp", s.Listen)
+	return &program{settings: s, server: server}, nil
+}
+
+// Run implements daemon.Program.
+func (p *program) Run(stop context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.Listen)
 	if err != nil {
 		return merry.Prepend(err, "listen for the pages; check listen")
 	}
-	logrus.WithFields(logrus.Fields{"listen": s.Listen, "operator": s.Operator.Name}).Info("starting")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return server.Run(ctx, listener)
+	logrus.WithFields(logrus.Fields{"listen": p.settings.Listen, "operator": p.settings.Operator.Name}).Info("starting")
+	return p.server.Run(stop, listener)
 }
 
 // announce prints a sign-in link for the person who started the console.
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,57 @@
+// Package daemon is the command line that the long-running programs share.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+
+	"medlarslip/internal/version"
+)
+
+// Program is a program that was put together from its settings.
+type Program interface {
+	// Run runs the program until stop ends.
+	Run(stop context.Context) error
+}
+
+// Load reads and checks the settings at path and puts the program together;
+// it opens no connection yet.
+type Load func(path string) (Program, error)
+
+// Main runs a program until SIGTERM or an interrupt. The flags -check and
+// -version end it early. Errors go to standard error, with exit code 1.
+func Main(load Load) {
+	path := flag.String("settings", "", "path of the YAML settings")
+	check := flag.Bool("check", false, "check the settings and the keys that they name, and exit")
+	showVersion := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	merry.SetStackCaptureEnabled(false)
+	if *showVersion {
+		fmt.Println(version.String())
+		return
+	}
+	if err := run(load, *path, *check); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(load Load, path string, check bool) error {
+	program, err := load(path)
+	if err != nil {
+		return err
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return program.Run(ctx)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
@@ -95,6 +96,7 @@
 	if err := in.listen(following, &group); err != nil {
 		return err
 	}
+	logrus.WithFields(logrus.Fields{"instance": in.parts.settings.Instance, "callers": in.parts.settings.Listen.Callers}).Info("serving")
 	goAll(following, &group, in.parts.followers)
 	goAll(writing, &group, in.parts.writers)
 	<-stop.Done()
@@ -106,6 +108,7 @@
 	for _, closePart := range in.parts.closers {
 		closePart()
 	}
+	logrus.Info("planned stop: done")
 	return firstError(drainErr, adminErr, groupErr)
 }
 
--- a/internal/protocol/document/document.go
+++ b/internal/protocol/document/document.go
@@ -151,7 +151,8 @@
 	Target string `yaml:"target"`
 	// MaxInFlight bounds requests in progress from the whole fleet.
 	MaxInFlight int `yaml:"max_in_flight"`
-	// WarmAfterRequests is the number of good answers after which a backend
-	// server counts as warm.
+	// WarmAfterRequests is the number of good answers until which MaxInFlight
+	// holds. From then on the bound grows with good answers, and falls back at
+	// trouble, until the server counts as warm.
 	WarmAfterRequests int `yaml:"warm_after_requests"`
 }
