Keep the first of two peer connections that are opened at once

Client.keep closed the older connection, on which another call could be under way; that call failed as unreachable. TestPlannedStopCutsNoRequest failed by it in 3 runs since the configuration spreads by the same client (a claim's owner could not be reached).

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -65,7 +65,8 @@
 }
 
 // conn returns the open connection to address or opens one. Two calls that
-// open one at the same time both do; the later one is kept.
+// open one at the same time both do; the first one is kept, because a call may
+// be under way on it.
 func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
 	conn, ok := c.conns[address]
@@ -85,14 +86,16 @@
 		return nil, err
 	}
 	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(secured, jsonrpc2.VarintObjectCodec{}), noCalls{})
-	c.keep(address, conn)
-	return conn, nil
+	return c.keep(address, conn), nil
 }
 
-func (c *Client) keep(address string, conn *jsonrpc2.Conn) {
+// keep keeps a new connection unless there is one, and returns the kept one.
+func (c *Client) keep(address string, conn *jsonrpc2.Conn) *jsonrpc2.Conn {
 	c.mu.Lock()
-	if old, ok := c.conns[address]; ok {
-		_ = old.Close()
+	if first, ok := c.conns[address]; ok {
+		c.mu.Unlock()
+		_ = conn.Close()
+		return first
 	}
 	c.conns[address] = conn
 	c.mu.Unlock()
@@ -104,6 +107,7 @@
 			delete(c.conns, address)
 		}
 	}()
+	return conn
 }
 
 // noCalls is the handler of the calling side, which answers no calls.
