--- a/internal/protocol/strictyaml/strictyaml_test.go
+++ b/internal/protocol/strictyaml/strictyaml_test.go
@@ -67,3 +67,20 @@
 		})
 	}
 }
+
+// FuzzDecode checks that no text ends the process, and that what is decoded
+// holds every key.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("name: &a [*a]\n"))
+	f.Add([]byte("? [a]\n: b\n"))
+	f.Add([]byte("- name\n---\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var got sample
+		if err := strictyaml.Decode(text, &got); err != nil {
+			must.ErrorIs(t, err, strictyaml.ErrInvalid)
+			return
+		}
+		must.StrContains(t, string(text), "parts")
+	})
+}
