End the demonstration in order on Ctrl-C

Ctrl-C reached every process of the group at once, so that the platform's stand-in was gone while the instances still wrote their last records. Each program has a process group of its own now and the script ends them in order; stand-ins wait one second for reads in progress.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -3,19 +3,16 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/standin/engineserver"
+	"medlarslip/internal/standin/process"
 	"medlarslip/internal/standin/serviceserver"
 )
 
@@ -54,14 +51,5 @@
 	default:
 		return fmt.Errorf("-role %q is neither engine nor service", role)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	http := &fasthttp.Server{Handler: handler, CloseOnShutdown: true}
-	var group errgroup.Group
-	group.Go(func() error { return http.ListenAndServe(listen) })
-	<-ctx.Done()
-	if err := http.Shutdown(); err != nil {
-		return err
-	}
-	return group.Wait()
+	return process.Run(listen, &fasthttp.Server{Handler: handler})
 }
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -3,22 +3,19 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"hash/fnv"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/standin/logservice"
 	"medlarslip/internal/standin/platformserver"
+	"medlarslip/internal/standin/process"
 )
 
 func main() {
@@ -41,16 +38,7 @@
 		}
 		server.SetInstances(*list)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	http := &fasthttp.Server{Handler: server.Handle, CloseOnShutdown: true, MaxRequestBodySize: 64 << 20}
-	var group errgroup.Group
-	group.Go(func() error { return http.ListenAndServe(listen) })
-	<-ctx.Done()
-	if err := http.Shutdown(); err != nil {
-		return err
-	}
-	return group.Wait()
+	return process.Run(listen, &fasthttp.Server{Handler: server.Handle, MaxRequestBodySize: 64 << 20})
 }
 
 func readInstances(path string) (*platform.InstanceList, error) {
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -3,6 +3,9 @@
 # platform and the backend servers, sends requests of every kind, and stays up
 # until interrupted. "scripts/run.sh -once" ends after the requests.
 set -euo pipefail
+# Each program gets a process group of its own, so that Ctrl-C reaches only this
+# script, which then ends them in order.
+set -m
 cd "$(dirname "$0")/.."
 
 mkdir -p bin
