--- a/internal/standin/localfleet/localfleet.go
+++ b/internal/standin/localfleet/localfleet.go
@@ -124,9 +124,14 @@
 	return f
 }
 
-// AddBackend lists a backend server.
+// AddBackend lists a backend server in the first failure domain.
 func (f *Fleet) AddBackend(id string, role platform.Role, address string, serves ...string) {
-	f.list(platform.Instance{ID: id, Address: address, Role: role, Serves: serves, FailureDomain: "wdh-a", State: platform.InstanceLive, Incarnation: "1"})
+	f.AddBackendIn(failureDomains[0], id, role, address, serves...)
+}
+
+// AddBackendIn lists a backend server.
+func (f *Fleet) AddBackendIn(failureDomain, id string, role platform.Role, address string, serves ...string) {
+	f.list(platform.Instance{ID: id, Address: address, Role: role, Serves: serves, FailureDomain: failureDomain, State: platform.InstanceLive, Incarnation: "1"})
 }
 
 func (f *Fleet) list(row platform.Instance) {
@@ -262,8 +267,13 @@
 }
 
 // ChatBody returns the body of a chat request.
-func ChatBody(stream bool) string {
-	return fmt.Sprintf(`{"model":"draft","stream":%t,"messages":[{"role":"user","content":"hello"}]}`, stream)
+func ChatBody(stream bool) string { return chatBody("hello", stream) }
+
+// PromptBody returns the body of a chat request for a whole answer.
+func PromptBody(prompt string) string { return chatBody(prompt, false) }
+
+func chatBody(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":"draft","stream":%t,"messages":[{"role":"user","content":%q}]}`, stream, prompt)
 }
 
 // callerClient keeps connections, as callers do, and repeats nothing.
