--- a/internal/protocol/refusal/refusal.go
+++ b/internal/protocol/refusal/refusal.go
@@ -35,7 +35,6 @@
 	KindNoBackend          Kind = "no_backend_server"
 	KindOverloaded         Kind = "overloaded"
 	KindDeadline           Kind = "deadline"
-	KindBelowTarget        Kind = "below_quality_target"
 	KindBrokenAnswer       Kind = "broken_answer"
 	KindKeyRequired        Kind = "idempotency_key_required"
 	KindKeyReused          Kind = "idempotency_key_reused"
@@ -117,7 +116,6 @@
 	KindNoBackend:          503,
 	KindOverloaded:         429,
 	KindDeadline:           504,
-	KindBelowTarget:        502,
 	KindBrokenAnswer:       502,
 	KindKeyRequired:        400,
 	KindKeyReused:          422,
