--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	showVersion := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
 	merry.SetStackCaptureEnabled(false)
+	TuneCollector()
 	if *showVersion {
 		fmt.Println(version.String())
 		return
--- a/internal/instance/path_bench_test.go
+++ b/internal/instance/path_bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
+	"medlarslip/internal/daemon"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/standin/engineserver"
 	"medlarslip/internal/standin/localfleet"
@@ -49,6 +50,7 @@
 // address of each way.
 func benchPaths(b *testing.B) map[string]string {
 	b.Helper()
+	daemon.TuneCollector()
 	f := localfleet.NewWith(b, nil)
 	var addresses []string
 	for range benchEngines {
