Write the wait that a context ends once instead of five times

Claims, cold starts, the log's reader and writer, gossip and the capacity measurement each had the same function under two names.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 )
 
@@ -104,9 +105,9 @@
 		return err
 	}
 	result.Joined = time.Since(began)
-	pause(ctx, plan.Settle)
+	pause.For(ctx, plan.Settle)
 	first := sample(st)
-	pause(ctx, plan.Window)
+	pause.For(ctx, plan.Window)
 	last := sample(st)
 	// A window in which a busy machine did no work at all says nothing.
 	err := await(ctx, plan.Patience, func() bool {
@@ -181,18 +182,11 @@
 		if ctx.Err() != nil || time.Now().After(end) {
 			return ErrNotConverged
 		}
-		pause(ctx, step)
+		pause.For(ctx, step)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
-
 // counts are the running totals at one moment.
 type counts struct {
 	at                                 time.Time
--- a/internal/coordination/claims/follow.go
+++ b/internal/coordination/claims/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/protocol/records"
 )
@@ -32,7 +33,7 @@
 func (c *Coordinator) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := c.step(ctx); err != nil {
-			sleep(ctx, outageWait)
+			pause.For(ctx, outageWait)
 		}
 	}
 	return nil
@@ -115,12 +116,5 @@
 	return c.ready.Load() && (s.whole() || c.now().UnixNano()-c.gapAt.Load() > int64(Window+windowMargin))
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
-
 // Position returns the offset behind the last record read.
 func (c *Coordinator) Position() int64 { return c.next.Load() }
--- a/internal/coordination/coldstart/policy.go
+++ b/internal/coordination/coldstart/policy.go
@@ -18,6 +18,7 @@
 
 	"medlarslip/internal/coordination/eventlog"
 	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/document"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/state/backends"
@@ -173,7 +174,7 @@
 			return nil
 		case <-ticker.C:
 		case <-p.kick:
-			pause(ctx, kickPause)
+			pause.For(ctx, kickPause)
 		}
 		p.Tick(ctx)
 	}
@@ -195,7 +196,7 @@
 		p.mu.Unlock()
 		page, err := p.config.Log.Read(ctx, platform.StreamLeases, next, readLimit, readWait)
 		if err != nil {
-			pause(ctx, readRetry+rand.N(readRetry))
+			pause.For(ctx, readRetry+rand.N(readRetry))
 			continue
 		}
 		p.mu.Lock()
@@ -204,13 +205,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
-
 // Leave gives up the leases of an instance that is to stop.
 func (p *Policy) Leave() {
 	p.mu.Lock()
--- a/internal/coordination/eventlog/follower.go
+++ b/internal/coordination/eventlog/follower.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 )
 
@@ -114,7 +115,7 @@
 			wait.Reset()
 			continue
 		}
-		sleep(ctx, wait.NextBackOff())
+		pause.For(ctx, wait.NextBackOff())
 	}
 	return nil
 }
@@ -197,12 +198,3 @@
 	b.Reset()
 	return b
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/coordination/eventlog/writer.go
+++ b/internal/coordination/eventlog/writer.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/records"
 )
 
@@ -136,7 +137,7 @@
 	for {
 		select {
 		case <-w.written:
-			sleep(ctx, w.options.Linger)
+			pause.For(ctx, w.options.Linger)
 			w.flushUntilDone(ctx)
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendTimeout)
@@ -155,7 +156,7 @@
 		}
 		appendFailures.Add(w.stream, 1)
 		logrus.WithField("stream", w.stream).WithError(err).Debug("append failed")
-		sleep(ctx, wait.NextBackOff())
+		pause.For(ctx, wait.NextBackOff())
 	}
 }
 
@@ -214,7 +215,7 @@
 	if budget == nil {
 		return nil
 	}
-	sleep(ctx, budget.Reserve(time.Now()))
+	pause.For(ctx, budget.Reserve(time.Now()))
 	if err := ctx.Err(); err != nil {
 		return merry.Prepend(ErrNotAppended, err.Error())
 	}
--- a/internal/coordination/gossip/probe.go
+++ b/internal/coordination/gossip/probe.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/pause"
 )
 
 // Run exchanges with neighbours until ctx ends.
@@ -21,18 +23,11 @@
 			n.tick(ctx)
 		case <-n.urgent:
 			n.flush(ctx)
-			sleep(ctx, urgentInterval)
+			pause.For(ctx, urgentInterval)
 		}
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
-
 // tick exchanges with the next neighbour and judges members whose time is up.
 func (n *Node) tick(ctx context.Context) {
 	now := time.Now()
