--- /dev/null
+++ b/internal/coordination/gateway/cascade.go
@@ -0,0 +1,43 @@
+package gateway
+
+import "medlarslip/internal/protocol/routes"
+
+const (
+	// enoughConfidence is the confidence, 0 to 100, from which the answer of a
+	// smaller model is given.
+	enoughConfidence = 60
+)
+
+// cascadePlan chooses the models of one request, smallest first.
+type cascadePlan struct {
+	models []string
+	step   int
+	fixed  string
+}
+
+func newCascadePlan(route *routes.Route, call *Call) *cascadePlan {
+	if call.AnyModel && len(route.Models) > 0 {
+		return &cascadePlan{models: route.Models}
+	}
+	return &cascadePlan{fixed: call.Model}
+}
+
+// model returns the model to run next; empty where none is named.
+func (p *cascadePlan) model() string {
+	if len(p.models) == 0 {
+		return p.fixed
+	}
+	return p.models[p.step]
+}
+
+// last reports whether no stronger model is left.
+func (p *cascadePlan) last() bool { return p.step >= len(p.models)-1 }
+
+// weak reports whether an answer should be dropped for that of a stronger
+// model.
+func (p *cascadePlan) weak(confidence int) bool {
+	return !p.last() && confidence >= 0 && confidence < enoughConfidence
+}
+
+// advance moves on to the strongest model.
+func (p *cascadePlan) advance() { p.step = len(p.models) - 1 }
--- /dev/null
+++ b/internal/coordination/gateway/cold.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// ColdOptions bound what a cold server gets from all instances together.
+type ColdOptions struct {
+	// Overshoot multiplies the rate that the service names.
+	Overshoot float64
+	// Slack is added to it, in requests a second.
+	Slack float64
+}
+
+// spareInstances is the factor by which the number of known instances is taken
+// to grow while nobody has heard of the new ones yet.
+const spareInstances = 1.5
+
+// coldWindow is the span over which requests to a cold server are counted. It
+// is longer than the second that the bound names, since requests sent over
+// more than a second may arrive inside one.
+const coldWindow = 1200 * time.Millisecond
+
+// coldGate bounds the requests of this instance to each cold server by a
+// static share of what the server bears, so that the bound holds over all
+// instances, whether or not they reach each other.
+type coldGate struct {
+	mu   sync.Mutex
+	sent map[string][]time.Time // server ID to the moments of recent requests
+}
+
+func newColdGate() *coldGate { return &coldGate{sent: map[string][]time.Time{}} }
+
+// coldShare returns how many requests this instance may send within a window, and
+// the length of that window.
+func coldShare(perSecond float64, opts *ColdOptions, instances int) (count int, window time.Duration) {
+	bound := perSecond*opts.Overshoot + opts.Slack
+	own := bound / math.Ceil(float64(max(instances, 1))*spareInstances)
+	if own >= 1 {
+		return int(own), coldWindow
+	}
+	return 1, time.Duration(float64(coldWindow) / max(own, minColdShare))
+}
+
+// minColdShare keeps the window of a very small share finite, in requests a
+// second.
+const minColdShare = 0.01
+
+// open reports whether one more request may be sent; with take it is counted.
+func (g *coldGate) open(server string, now time.Time, count int, window time.Duration, take bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	recent := g.sent[server]
+	for len(recent) > 0 && now.Sub(recent[0]) >= window {
+		recent = recent[1:]
+	}
+	if len(recent) == 0 {
+		delete(g.sent, server)
+	} else {
+		g.sent[server] = recent
+	}
+	if len(recent) >= count {
+		return false
+	}
+	if take {
+		g.sent[server] = append(recent, now)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordination/gateway/events.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 256 << 10
+
+var (
+	errEventTooLong = errors.New("event of the stream is too long; raise the bound or have the server send smaller events")
+	errEventCut     = errors.New("stream ended inside an event")
+	errEventOrder   = errors.New("event of the stream repeats or goes back")
+)
+
+// event is one event of a stream as the server sent it, with its final empty
+// line (Server-Sent Events, HTML Living Standard, section 9.2).
+type event struct {
+	raw []byte
+	// id is the number of the event; -1 if it bears none.
+	id int64
+}
+
+// eventReader reads whole events.
+type eventReader struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+// eventBufferBytes is the size of the read buffer of a stream.
+const eventBufferBytes = 4 << 10
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(source, eventBufferBytes)}
+}
+
+// next returns the next event; its bytes are valid until the next call. io.EOF
+// comes only after a whole event.
+func (r *eventReader) next() (event, error) {
+	r.buffer = r.buffer[:0]
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.buffer = append(r.buffer, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = nil
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(r.buffer) > 0 {
+				err = errEventCut
+			}
+			return event{}, err
+		}
+		if len(r.buffer) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
+		if endsEvent(r.buffer) {
+			return event{raw: r.buffer, id: eventID(r.buffer)}, nil
+		}
+	}
+}
+
+func endsEvent(raw []byte) bool {
+	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n")) || string(raw) == "\n" || string(raw) == "\r\n"
+}
+
+func eventID(raw []byte) int64 {
+	for line := range bytes.Lines(raw) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil {
+			return -1
+		}
+		return id
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/coordination/gateway/keys.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"medlarslip/internal/protocol/routes"
+)
+
+// setKeys derives what the request is placed by: its service, its session and
+// the shared part of its prompt.
+func (r *request) setKeys() {
+	r.plan = newCascadePlan(r.route, &r.call)
+	r.session = sessionHash(&r.call)
+	r.prefix = prefixHash(&r.call)
+	r.service = chooseTarget(r.route, r.session)
+}
+
+// sessionHash is the same for all requests of a session, which end with the
+// same part of a prompt.
+func sessionHash(call *Call) uint64 {
+	if n := len(call.Prompt); n > 0 {
+		return xxhash.Sum64String(call.Prompt[n-1].ID)
+	}
+	return xxhash.Sum64String(call.ID)
+}
+
+// prefixHash identifies the parts of the prompt that other requests share; the
+// last part is the request's own.
+func prefixHash(call *Call) uint64 {
+	if len(call.Prompt) < 2 {
+		return 0
+	}
+	return xxhash.Sum64String(call.Prompt[len(call.Prompt)-2].ID)
+}
+
+// chooseTarget picks a service of the route by weight, the same one for all
+// requests of a session.
+func chooseTarget(route *routes.Route, session uint64) string {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	total := 0
+	for _, target := range route.Targets {
+		total += target.Weight
+	}
+	if total <= 0 {
+		return route.Targets[rand.IntN(len(route.Targets))].Service
+	}
+	at := int(session % uint64(total))
+	for _, target := range route.Targets {
+		if at < target.Weight {
+			return target.Service
+		}
+		at -= target.Weight
+	}
+	return route.Targets[len(route.Targets)-1].Service
+}
--- /dev/null
+++ b/internal/coordination/gateway/observe.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/coordination/staging"
+)
+
+const (
+	// usualWeight is the weight of a new value in the moving mean of times.
+	usualWeight = 0.1
+	// usualLeast is the number of times that a mean needs to be compared with.
+	usualLeast = 10
+	// slowFactor is the multiple of the mean from which a time counts as slow.
+	slowFactor = 3
+	// slowSlack is added to it, so that short times do not count for jitter.
+	slowSlack = 60 * time.Millisecond
+)
+
+// usualTime is the moving mean of the time to the header of a response.
+type usualTime struct {
+	mu    sync.Mutex
+	mean  time.Duration
+	count int
+}
+
+// compare notes a time and reports whether it could be compared with those
+// before it, and whether it was slow.
+func (u *usualTime) compare(took time.Duration) (timed, slow bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	timed = u.count >= usualLeast
+	slow = timed && took > slowFactor*u.mean+slowSlack
+	if u.count == 0 {
+		u.mean = took
+	}
+	u.count++
+	if !slow {
+		u.mean += time.Duration(usualWeight * float64(took-u.mean))
+	}
+	return timed, slow
+}
+
+// observe tells the roll-out of the service how the attempt went. Only what a
+// server answered counts: a lost connection says nothing of its version.
+func (a *attempt) observe(took time.Duration) {
+	if a.verdict != deliver && a.verdict != serverFailed {
+		return
+	}
+	found, _ := a.gateway.usual.LoadOrStore(a.req.usualKey(a.model), &usualTime{})
+	timed, slow := found.(*usualTime).compare(took)
+	a.gateway.Staging.Observe(staging.Observation{
+		Service: a.req.service,
+		Version: a.choice.snapshot.Server.Version,
+		Failed:  a.reply.Status >= http.StatusInternalServerError,
+		Timed:   timed,
+		Slow:    slow,
+	})
+}
+
+func (g *Gateway) logAttempt(a *attempt, took time.Duration, err error) {
+	if a.verdict == deliver {
+		return
+	}
+	server := &a.choice.snapshot
+	entry := g.Log.WithFields(logrus.Fields{
+		"event": "attempt_ended", "request_id": a.req.call.ID, "server": a.server(), "service": a.req.service,
+		"version": server.Server.Version, "verdict": a.verdict.String(), "status": a.reply.Status,
+		"took_ms": took.Milliseconds(), "in_flight": server.InFlight, "sent": a.req.sent,
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("attempt brought no answer")
+}
--- /dev/null
+++ b/internal/coordination/gateway/refuse.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// refusal is a final answer of the gateway's own.
+type refusal struct {
+	status int
+	// cause names the reason for logs and metrics.
+	cause string
+	// remedy is the text for the client.
+	remedy string
+	// retryAfter is when to come back; 0 names no time.
+	retryAfter time.Duration
+}
+
+const (
+	// retrySoon is when to come back where another server may be free.
+	retrySoon = 150 * time.Millisecond
+	// retryLater is when to come back where this instance has to regain
+	// something first.
+	retryLater = 500 * time.Millisecond
+)
+
+var (
+	refuseNoConfiguration = refusal{http.StatusServiceUnavailable, "no_configuration", "not run: no configuration is known yet; come back soon", retryLater}
+	refuseStale           = refusal{http.StatusServiceUnavailable, "configuration_stale", "not run: it is not certain that the key is still valid; come back soon or use another address", retryLater}
+	refuseNoRoute         = refusal{http.StatusNotFound, "no_route", "no route leads here; check host and path", 0}
+	refuseKey             = refusal{http.StatusUnauthorized, "unknown_key", "the API key is missing or unknown; send a valid one", 0}
+	refuseTooLarge        = refusal{http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than the limit; send a smaller one", 0}
+	refuseBody            = refusal{http.StatusBadRequest, "body_unreadable", "the body could not be read; send it whole", 0}
+	refuseBodyTimeout     = refusal{http.StatusRequestTimeout, "body_timeout", "not run: the body did not arrive in time; send it again", 0}
+	refuseNoServer        = refusal{http.StatusServiceUnavailable, "no_server", "not run: no server may take the request now; come back soon", retrySoon}
+	refuseNotRun          = refusal{http.StatusServiceUnavailable, "not_run", "not run: every server that was asked refused; come back soon", retrySoon}
+	refuseLate            = refusal{http.StatusServiceUnavailable, "no_time_left", "not run: the time for the answer is over; allow more time", retrySoon}
+	refuseLost            = refusal{http.StatusBadGateway, "answer_lost", "the request may have run, and its answer is lost; check before it is repeated", 0}
+	refuseTimeout         = refusal{http.StatusGatewayTimeout, "timeout", "the request may have run, and its answer is late; check before it is repeated", 0}
+)
+
+// write sends the refusal to the client.
+func (r *refusal) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64))
+	}
+	header.Set("Content-Length", strconv.Itoa(len(r.remedy)+1))
+	w.WriteHeader(r.status)
+	// A client that has gone needs no answer.
+	_, _ = w.Write([]byte(r.remedy + "\n"))
+}
--- /dev/null
+++ b/internal/coordination/gateway/relay.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"medlarslip/internal/protocol/routes"
+)
+
+// maxWholeBody bounds the size in bytes of a body that is read whole before
+// any of it is given to the client.
+const maxWholeBody = 1 << 20
+
+var errBodyTooLong = errors.New("body of the answer is longer than can be held")
+
+// relay gives the client the answer of a server. Where the answer breaks before
+// the client has received any of it, it is asked for again if it may be.
+func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, req *request, a *attempt, e *end) {
+	for {
+		if a.streams() {
+			g.relayStream(ctx, w, req, a, e)
+			return
+		}
+		body, err := readWhole(a.exchange)
+		if err == nil {
+			g.writeWhole(w, a, body, e)
+			a.close()
+			return
+		}
+		if a.verdict == deliver {
+			a.verdict = unknown
+			e.verdicts[len(e.verdicts)-1] = a.verdict.String()
+		}
+		a.close()
+		next := g.again(ctx, req, a, e)
+		if next == nil {
+			*e = e.giveUp(ctx, req, &refuseNotRun)
+			return
+		}
+		a = next
+	}
+}
+
+// again sends a request once more after its answer broke, or returns nil.
+func (g *Gateway) again(ctx context.Context, req *request, a *attempt, e *end) *attempt {
+	for v := a.verdict; ctx.Err() == nil && g.mayGoOn(req, v); v = a.verdict {
+		a = g.attempt(ctx, req, "", req.call.LastEventID)
+		if a == nil {
+			return nil
+		}
+		e.note(a)
+		if a.verdict == deliver {
+			return a
+		}
+		a.close()
+	}
+	return nil
+}
+
+func (a *attempt) streams() bool {
+	return a.verdict == deliver && a.req.route.Kind == routes.Stream && isSuccess(a.reply.Status)
+}
+
+func readWhole(source io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(source, maxWholeBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxWholeBody {
+		return nil, errBodyTooLong
+	}
+	return body, nil
+}
+
+// writeWhole writes an answer that has arrived whole.
+func (g *Gateway) writeWhole(w http.ResponseWriter, a *attempt, body []byte, e *end) {
+	header := w.Header()
+	g.copyHeader(header, a)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(a.reply.Status)
+	// A client that has gone needs no answer.
+	_, _ = w.Write(body)
+	e.outcome = a.verdict.String()
+}
+
+func (g *Gateway) copyHeader(dst http.Header, a *attempt) {
+	for name, values := range g.Codec.EncodeAnswer(a.exchange.Response.Header) {
+		dst[name] = values
+	}
+	if _, ok := dst["Content-Type"]; !ok {
+		// An empty entry keeps net/http from guessing a type.
+		dst["Content-Type"] = nil
+	}
+}
+
+// relayStream passes on the events of a stream. The header goes out with the
+// first event, so that until then another server can be asked afresh.
+func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, a *attempt, e *end) {
+	s := &relayedStream{gateway: g, req: req, w: w, last: -1, lastSent: req.call.LastEventID}
+	for {
+		err := s.pass(a)
+		if err == nil {
+			if !s.begun {
+				s.begin(a)
+			}
+			e.outcome = "answered"
+			a.close()
+			return
+		}
+		version := a.choice.snapshot.Server.Version
+		a.verdict = unknown
+		a.close()
+		g.logBroken(a, err, s.lastSent)
+		if next := s.resume(ctx, a, version, e); next != nil {
+			a = next
+			continue
+		}
+		s.fail(ctx, e)
+		return
+	}
+}
+
+// relayedStream is the answer of one client while it is passed on.
+type relayedStream struct {
+	gateway *Gateway
+	req     *request
+	w       http.ResponseWriter
+	begun   bool
+	// last is the number of the last event that was passed on, or -1.
+	last int64
+	// lastSent is its ID as text, or what the client named.
+	lastSent string
+}
+
+// streamSilence is the pause between events after which a server is taken to
+// have stopped, as a multiple of the latency objective for pauses.
+const streamSilence = 3
+
+// leastSilence keeps that pause above what a loaded server may take.
+const leastSilence = 2 * time.Second
+
+// pass passes on the events of one server until its stream ends; the error
+// says how it broke.
+func (s *relayedStream) pass(a *attempt) error {
+	events := newEventReader(a.exchange)
+	silence := time.AfterFunc(noLimit, a.cancel)
+	defer silence.Stop()
+	wait := max(streamSilence*s.req.route.GapObjective, leastSilence)
+	for {
+		if s.req.attemptsLeft() {
+			silence.Reset(wait)
+		}
+		ev, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if ev.id >= 0 && ev.id <= s.last {
+			return errEventOrder
+		}
+		if err := s.send(a, &ev); err != nil {
+			a.cancel()
+			return err
+		}
+	}
+}
+
+func (s *relayedStream) begin(a *attempt) {
+	s.gateway.copyHeader(s.w.Header(), a)
+	s.w.WriteHeader(a.reply.Status)
+	s.begun = true
+}
+
+func (s *relayedStream) send(a *attempt, ev *event) error {
+	if !s.begun {
+		s.begin(a)
+	}
+	if _, err := s.w.Write(ev.raw); err != nil {
+		return err
+	}
+	if ev.id >= 0 {
+		s.last, s.lastSent = ev.id, strconv.FormatInt(ev.id, 10)
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// resume asks another server of the same version to go on after the last event
+// that was passed on; before the first, to answer afresh.
+func (s *relayedStream) resume(ctx context.Context, a *attempt, version string, e *end) *attempt {
+	if !s.begun {
+		return s.gateway.again(ctx, s.req, a, e)
+	}
+	g, req := s.gateway, s.req
+	for v := a.verdict; ctx.Err() == nil && req.route.Resumable && g.mayGoOn(req, v); v = a.verdict {
+		a = g.attempt(ctx, req, version, s.lastSent)
+		if a == nil {
+			return nil
+		}
+		e.note(a)
+		if a.verdict == deliver && isSuccess(a.reply.Status) {
+			e.resumed++
+			return a
+		}
+		a.close()
+	}
+	return nil
+}
+
+// fail ends a stream that can't go on. What has been begun must not look
+// complete, so the connection is closed.
+func (s *relayedStream) fail(ctx context.Context, e *end) {
+	if !s.begun {
+		*e = e.giveUp(ctx, s.req, &refuseNotRun)
+		return
+	}
+	e.abort, e.outcome = true, "stream_broken"
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errRequestExpired) {
+		e.outcome = "client_gone"
+	}
+}
+
+func (g *Gateway) logBroken(a *attempt, err error, lastEvent string) {
+	g.Log.WithError(err).WithField("event", "stream_broken").WithField("request_id", a.req.call.ID).
+		WithField("server", a.server()).WithField("last_event", lastEvent).Info("stream broke")
+}
--- /dev/null
+++ b/internal/coordination/gateway/run.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"medlarslip/internal/protocol/routes"
+	"medlarslip/internal/state/backends"
+	"medlarslip/internal/transport/httpconn"
+)
+
+const (
+	// cascadeShare is the part of the budget that stronger models may use; the
+	// rest is left for repeats after failures.
+	cascadeShare = 0.8
+	// repeatShare is the part of the budget that all repeats may use. It keeps
+	// a margin for requests that cross a window's edge on their way.
+	repeatShare = 0.95
+)
+
+// run sends a request to servers until it is answered or given up.
+func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *request) end {
+	e := &end{}
+	g.budgetOf(req).first(time.Now(), &g.boundsNow().Budget)
+	for {
+		a := g.attempt(ctx, req, "", req.call.LastEventID)
+		if a == nil {
+			return e.giveUp(ctx, req, &refuseNoServer)
+		}
+		e.note(a)
+		if a.verdict == deliver {
+			if g.dropWeak(ctx, req, a) {
+				e.verdicts[len(e.verdicts)-1] = "weak"
+				continue
+			}
+			g.relay(ctx, w, req, a, e)
+			return *e
+		}
+		if ctx.Err() != nil || !g.mayGoOn(req, a.verdict) {
+			return g.finish(ctx, w, req, a, e)
+		}
+		a.close()
+	}
+}
+
+func (g *Gateway) boundsNow() *Bounds {
+	bounds := g.Bounds()
+	return &bounds
+}
+
+func (g *Gateway) budgetOf(req *request) *budget { return g.budgets.of(req.service) }
+
+// mayGoOn reports whether another server may be asked, and takes the repeat
+// from the budget.
+func (g *Gateway) mayGoOn(req *request, v verdict) bool {
+	if !mayRepeat(v, req.route.Repeatable()) || !req.attemptsLeft() {
+		return false
+	}
+	return g.budgetOf(req).take(time.Now(), &g.boundsNow().Budget, repeatShare, g.Instances())
+}
+
+func (r *request) attemptsLeft() bool {
+	return r.route.MaxAttempts <= 0 || r.sent < r.route.MaxAttempts
+}
+
+// dropWeak drops the answer of a smaller model in favor of a stronger one, if
+// its confidence is low and the budget allows another run.
+func (g *Gateway) dropWeak(ctx context.Context, req *request, a *attempt) bool {
+	if !req.plan.weak(a.reply.Confidence) || !req.attemptsLeft() || ctx.Err() != nil {
+		return false
+	}
+	if !g.budgetOf(req).take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
+		return false
+	}
+	a.close()
+	req.plan.advance()
+	return true
+}
+
+// note adds an attempt to the account of the request.
+func (e *end) note(a *attempt) {
+	e.verdicts = append(e.verdicts, a.verdict.String())
+	e.server, e.model, e.status = a.server(), a.model, a.reply.Status
+}
+
+// finish answers a request whose last attempt brought no answer to deliver.
+func (g *Gateway) finish(ctx context.Context, w http.ResponseWriter, req *request, a *attempt, e *end) end {
+	if a.verdict == serverFailed && ctx.Err() == nil {
+		g.relay(ctx, w, req, a, e)
+		return *e
+	}
+	a.close()
+	return e.giveUp(ctx, req, &refuseNotRun)
+}
+
+// giveUp ends a request without an answer of a server. notRun is the refusal
+// where no server may have begun to work on it.
+func (e *end) giveUp(ctx context.Context, req *request, notRun *refusal) end {
+	expired := errors.Is(context.Cause(ctx), errRequestExpired)
+	switch {
+	case ctx.Err() != nil && !expired:
+		e.outcome, e.abort = "client_gone", true
+		return *e
+	case !req.mayHaveRun && expired:
+		e.refused = &refuseLate
+	case !req.mayHaveRun:
+		e.refused = notRun
+	case expired:
+		e.refused = &refuseTimeout
+	default:
+		e.refused = &refuseLost
+	}
+	e.outcome = e.refused.cause
+	return *e
+}
+
+// attempt is one request to a backend server.
+type attempt struct {
+	gateway  *Gateway
+	req      *request
+	choice   *selection
+	model    string
+	exchange *httpconn.Exchange
+	reply    Reply
+	verdict  verdict
+	began    time.Time
+	cancel   context.CancelFunc
+	settled  bool
+	ctx      context.Context
+}
+
+func (a *attempt) server() string { return a.choice.snapshot.Server.ID }
+
+var errServerSlow = errors.New("server has not begun to answer in time")
+
+// attempt sends the request to a server and judges the header of its response.
+// It returns nil if no server may take it. A version pins the server's version
+// where a stream goes on.
+func (g *Gateway) attempt(ctx context.Context, req *request, version, lastEventID string) *attempt {
+	choice := g.choose(req, version)
+	if choice == nil {
+		return nil
+	}
+	a := &attempt{gateway: g, req: req, choice: choice, model: req.plan.model(), began: time.Now()}
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	req.tried = append(req.tried, a.server())
+	reuse := httpconn.ReuseNone
+	if req.route.Repeatable() {
+		reuse = httpconn.ReuseIdle
+	}
+	limit := time.AfterFunc(g.patience(req, a.began), a.cancel)
+	var err error
+	a.exchange, err = g.Pool.Exchange(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID), reuse)
+	limit.Stop()
+	a.judge(err)
+	return a
+}
+
+const (
+	// patienceFactor is the number of latency objectives after which another
+	// server is asked, where the request may be repeated.
+	patienceFactor = 2
+	// leastPatience keeps that time above what a loaded server usually takes.
+	leastPatience = 200 * time.Millisecond
+	// noLimit stands for a wait that only the request itself bounds.
+	noLimit = time.Hour
+)
+
+// patience returns how long to wait for the header of a response.
+func (g *Gateway) patience(req *request, now time.Time) time.Duration {
+	if !req.route.Repeatable() || req.sent+1 >= req.route.MaxAttempts {
+		return noLimit
+	}
+	patience := max(patienceFactor*req.route.Objective, leastPatience)
+	if remaining := req.remaining(now); remaining > 0 {
+		patience = min(patience, remaining/2)
+	}
+	return patience
+}
+
+// encode puts together the bytes of the request.
+func (a *attempt) encode(lastEventID string) httpconn.RawRequest {
+	r := a.req
+	header := a.gateway.Codec.EncodeAttempt(r.http.Header, Attempt{
+		Remaining:   r.remaining(a.began),
+		Server:      a.server(),
+		Account:     r.accountName(),
+		Priority:    r.priority(),
+		Model:       a.model,
+		LastEventID: lastEventID,
+	})
+	var head bytes.Buffer
+	head.WriteString(r.http.Method + " " + rawTarget(r.http) + " HTTP/1.1\r\nHost: " + r.http.Host + "\r\n")
+	if len(r.body) > 0 || r.http.Method == http.MethodPost || r.http.Method == http.MethodPut || r.http.Method == http.MethodPatch {
+		header["Content-Length"] = []string{strconv.Itoa(len(r.body))}
+	}
+	// Writing to a buffer does not fail.
+	_ = header.Write(&head)
+	head.WriteString("\r\n")
+	return httpconn.RawRequest{Method: r.http.Method, Head: head.Bytes(), Body: r.body}
+}
+
+// judge notes how the attempt went up to the header of the response.
+func (a *attempt) judge(err error) {
+	took := time.Since(a.began)
+	if err != nil {
+		a.verdict = judgeError(err)
+	} else {
+		a.reply = a.gateway.Codec.DecodeReply(a.exchange.Response.StatusCode, a.exchange.Response.Header)
+		a.verdict = judgeReply(&a.reply, a.req.call.ID)
+		a.noteLoad()
+	}
+	if a.verdict != notRun || err == nil {
+		a.req.sent++
+	}
+	if a.verdict != notRun {
+		a.req.mayHaveRun = true
+	}
+	a.gateway.Metrics.Attempted(a.req.service, a.verdict.String(), took)
+	a.observe(took)
+	if a.verdict != deliver {
+		a.settle()
+	}
+	a.gateway.logAttempt(a, took, err)
+}
+
+func (a *attempt) noteLoad() {
+	if a.reply.Load == nil {
+		return
+	}
+	load := *a.reply.Load
+	load.ReadAt = time.Now()
+	a.choice.backend.SetLoad(load)
+}
+
+// settle gives the server's place back, once.
+func (a *attempt) settle() {
+	if a.settled {
+		return
+	}
+	a.settled = true
+	a.choice.backend.Settle(time.Now(), time.Since(a.began), a.result())
+}
+
+func (a *attempt) result() backends.CallResult {
+	switch a.verdict {
+	case deliver:
+		return backends.CallGood
+	case notRun:
+		if a.exchange == nil {
+			return backends.CallFailed
+		}
+		return backends.CallBusy
+	default:
+		if a.ctx.Err() != nil {
+			return backends.CallNeutral
+		}
+		return backends.CallFailed
+	}
+}
+
+// close ends the attempt; a response that was not read to its end closes its
+// connection, so that the server stops.
+func (a *attempt) close() {
+	if a.exchange != nil {
+		a.exchange.Close()
+	}
+	a.cancel()
+	a.settle()
+}
+
+// usualKey names the attempts whose times are compared.
+type usualKey struct {
+	service, model string
+	kind           routes.Kind
+	size           int
+}
+
+// sizeClass groups prompts whose lengths are alike.
+func sizeClass(tokens int) int {
+	class := 0
+	for tokens > 256 {
+		tokens /= 4
+		class++
+	}
+	return class
+}
+
+func (r *request) usualKey(model string) usualKey {
+	return usualKey{service: r.service, model: model, kind: r.route.Kind, size: sizeClass(r.call.PromptTokens)}
+}
--- /dev/null
+++ b/internal/coordination/gateway/select.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/protocol/routes"
+	"medlarslip/internal/state/backends"
+)
+
+// Causes for which the gateway passes over a server, besides those of routing.
+const (
+	droppedStage       = "version_not_in_stage"
+	droppedColdRate    = "cold_rate"
+	droppedUnconfirmed = "entry_missing"
+)
+
+// random satisfies rand.Source with the generator of the runtime, which is
+// safe for concurrent use.
+type random struct{}
+
+// Uint64 implements rand.Source.
+func (random) Uint64() uint64 { return rand.Uint64() }
+
+// selection is one step's choice of a server.
+type selection struct {
+	backend  *backends.Backend
+	snapshot backends.Snapshot
+}
+
+// choose finds a server for the next attempt and counts it there, or returns
+// nil. Only versions within the stage of a roll-out are considered; where none
+// of them is left, any version that is not barred.
+func (g *Gateway) choose(req *request, version string) *selection {
+	stage := g.Staging.Stage(req.service, req.session)
+	if version != "" {
+		stage = staging.Stage{Only: version}
+	}
+	if found := g.chooseIn(req, stage, false); found != nil {
+		return found
+	}
+	if found := g.chooseIn(req, stage, true); found != nil || version != "" {
+		return found
+	}
+	return g.chooseIn(req, stage.Widened(), true)
+}
+
+// maxPicks bounds how often a choice is repeated because the server's bound
+// was reached meanwhile.
+const maxPicks = 3
+
+func (g *Gateway) chooseIn(req *request, stage staging.Stage, unconfirmed bool) *selection {
+	list := backends.List(g.Servers.Serving(req.service))
+	service := req.index.Service(req.service)
+	for range maxPicks {
+		now := time.Now()
+		decision := routing.Decide(g.routingRequest(req, service, stage, unconfirmed, now), list, rand.New(random{}))
+		chosen := decision.Chosen()
+		if chosen == nil {
+			return nil
+		}
+		backend := list[chosen.Index]
+		if !backend.Begin(chosen.Bound) {
+			continue
+		}
+		if isCold(&chosen.Server, now) && !g.coldOpen(&chosen.Server, service, now, true) {
+			backend.Cancel()
+			continue
+		}
+		return &selection{backend: backend, snapshot: chosen.Server}
+	}
+	return nil
+}
+
+func (g *Gateway) routingRequest(req *request, service *routes.Service, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
+	return &routing.Request{
+		Target:        req.service,
+		FailureDomain: g.FailureDomain,
+		Now:           now,
+		Remaining:     req.remaining(now),
+		Entries:       g.Instances(),
+		Exclude:       req.tried,
+		PrefixHash:    req.prefix,
+		DomainOut:     g.DomainOut,
+		Admit: func(server *backends.Snapshot) string {
+			switch {
+			case !stage.Admits(server.Server.Version):
+				return droppedStage
+			case server.Server.Unconfirmed && !unconfirmed:
+				return droppedUnconfirmed
+			case isCold(server, now) && !g.coldOpen(server, service, now, false):
+				return droppedColdRate
+			}
+			return ""
+		},
+	}
+}
+
+func isCold(server *backends.Snapshot, now time.Time) bool {
+	return now.Before(server.Server.ColdUntil)
+}
+
+func (g *Gateway) coldOpen(server *backends.Snapshot, service *routes.Service, now time.Time, take bool) bool {
+	if service == nil || service.ColdPerSecond <= 0 {
+		return true
+	}
+	bounds := g.Bounds()
+	count, window := coldShare(service.ColdPerSecond, &bounds.Cold, g.Instances())
+	return g.cold.open(server.Server.ID, now, count, window, take)
+}
--- /dev/null
+++ b/internal/coordination/gateway/serve.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/boottime"
+	"medlarslip/internal/protocol/routes"
+)
+
+// request is one request of a client on its way.
+type request struct {
+	call    Call
+	route   *routes.Route
+	index   *routes.Index
+	account *routes.Account
+	http    *http.Request
+	body    []byte
+	started time.Time
+	// expires is when the answer must have ended; zero for never.
+	expires time.Time
+	service string
+	plan    *cascadePlan
+	// session is a hash by which requests of one session agree.
+	session uint64
+	// prefix is a hash of the shared part of the prompt; 0 if there is none.
+	prefix uint64
+	// tried lists the servers that the request was sent to.
+	tried []string
+	// sent counts the times that the request was written to a server.
+	sent int
+	// mayHaveRun is true once a server may have begun to work on it.
+	mayHaveRun bool
+}
+
+var errRequestExpired = errors.New("time for the answer is over")
+
+// ServeHTTP answers one request of a client.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.closing.inFlight.Add(1)
+	defer g.closing.inFlight.Done()
+	started := time.Now()
+	if g.closing.begun.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, refused := g.admit(w, r, started)
+	if refused != nil {
+		g.logRefusal(req, r, refused)
+		refused.write(w)
+		return
+	}
+	ctx, cancel := req.bound(r.Context())
+	defer cancel()
+	end := g.run(ctx, w, req)
+	g.logEnd(req, &end)
+	if end.refused != nil {
+		end.refused.write(w)
+	}
+	if end.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// bound returns the context that ends with the client or with the time for the
+// answer.
+func (r *request) bound(parent context.Context) (context.Context, context.CancelFunc) {
+	if r.expires.IsZero() {
+		return context.WithCancel(parent)
+	}
+	return context.WithDeadlineCause(parent, r.expires, errRequestExpired)
+}
+
+// admit reads the request and finds its route and client account.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, started time.Time) (*request, *refusal) {
+	call, err := g.Codec.DecodeCall(r.Header)
+	if err != nil {
+		return nil, &refusal{status: http.StatusBadRequest, cause: "bad_header", remedy: err.Error()}
+	}
+	req := &request{call: call, http: r, started: started}
+	configuration := g.Current()
+	req.index = configuration.Index
+	if req.index == nil {
+		return req, &refuseNoConfiguration
+	}
+	if refused := g.authorize(req, configuration.ProvenAt); refused != nil {
+		return req, refused
+	}
+	if refused := req.readBody(w); refused != nil {
+		return req, refused
+	}
+	req.setTimes()
+	req.setKeys()
+	return req, nil
+}
+
+// authorize finds route and account. The age of the configuration is taken
+// after the request has arrived, so that a key that was revoked long enough
+// before the client sent the request is never accepted.
+func (g *Gateway) authorize(req *request, provenAt boottime.Instant) *refusal {
+	maxAge := g.Bounds().MaxProofAge
+	stale := maxAge > 0 && boottime.Now().Since(provenAt) > maxAge
+	req.route = req.index.Match(hostName(req.http.Host), rawPath(req.http))
+	switch {
+	case req.route == nil && stale:
+		return &refuseStale
+	case req.route == nil:
+		return &refuseNoRoute
+	case !req.index.NeedsKey(req.route):
+		return nil
+	case stale:
+		return &refuseStale
+	}
+	req.account = req.index.Account(req.call.Key)
+	if req.account == nil {
+		return &refuseKey
+	}
+	return nil
+}
+
+func hostName(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
+// rawTarget returns the request target in origin form, as the client sent it.
+func rawTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(rawTarget(r), "?")
+	return path
+}
+
+// bodyTimeout bounds the wait for the body where the limits name no time. It
+// is that of a slow client on a lossy link.
+const bodyTimeout = 10 * time.Second
+
+// readBody reads the whole body, so that the request can be repeated.
+func (r *request) readBody(w http.ResponseWriter) *refusal {
+	if r.http.Body == nil || r.http.Body == http.NoBody {
+		return nil
+	}
+	reader := io.Reader(r.http.Body)
+	limit := r.index.Limits.BodyBytes
+	if limit > 0 {
+		if r.http.ContentLength > limit {
+			return &refuseTooLarge
+		}
+		reader = http.MaxBytesReader(w, r.http.Body, limit)
+	}
+	control := http.NewResponseController(w)
+	// A connection without deadlines is bounded by its idle timeout.
+	_ = control.SetReadDeadline(r.started.Add(bodyTimeout))
+	body, err := readSized(reader, r.http.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
+	r.body = body
+	return bodyRefusal(err)
+}
+
+func readSized(reader io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(reader)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+	return body, err
+}
+
+func bodyRefusal(err error) *refusal {
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return &refuseTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &refuseBodyTimeout
+	default:
+		return &refuseBody
+	}
+}
+
+// setTimes bounds the answer by the client's deadline and the route's timeout.
+func (r *request) setTimes() {
+	limit := r.call.Deadline
+	if r.route.Timeout > 0 && (limit <= 0 || r.route.Timeout < limit) {
+		limit = r.route.Timeout
+	}
+	if limit > 0 {
+		r.expires = r.started.Add(limit)
+	}
+}
+
+// remaining returns the time left for the answer; 0 means no bound.
+func (r *request) remaining(now time.Time) time.Duration {
+	if r.expires.IsZero() {
+		return 0
+	}
+	return max(r.expires.Sub(now), time.Millisecond)
+}
+
+// priority returns the rank of the request; 0 is the highest.
+func (r *request) priority() int {
+	if r.account != nil && r.account.Priority != nil {
+		return *r.account.Priority
+	}
+	return r.route.Priority
+}
+
+func (r *request) accountName() string {
+	if r.account == nil {
+		return ""
+	}
+	return r.account.Name
+}
+
+// end is how a request ended.
+type end struct {
+	outcome string
+	refused *refusal
+	// abort closes the client's connection, where an answer was begun and
+	// can't be ended.
+	abort bool
+	// status is that of the answer of a backend server.
+	status int
+	server string
+	model  string
+	// verdicts lists the ends of the attempts.
+	verdicts []string
+	resumed  int
+}
+
+func (g *Gateway) logRefusal(req *request, r *http.Request, refused *refusal) {
+	fields := logrus.Fields{"event": "request_refused", "cause": refused.cause, "status": refused.status, "path": rawPath(r)}
+	if req != nil {
+		fields["request_id"] = req.call.ID
+		if req.index != nil {
+			fields["configuration"] = req.index.Version
+		}
+	}
+	fields["proof_age_ms"] = boottime.Now().Since(g.Current().ProvenAt).Milliseconds()
+	g.Metrics.Answered("none", refused.cause, 0)
+	g.Log.WithFields(fields).Info("refused a request before it was sent")
+}
+
+func (g *Gateway) logEnd(req *request, e *end) {
+	took := time.Since(req.started)
+	g.Metrics.Answered(req.route.Kind.String(), e.outcome, took)
+	fields := logrus.Fields{
+		"event": "request_ended", "request_id": req.call.ID, "route": req.route.Name, "service": req.service,
+		"configuration": req.index.Version, "outcome": e.outcome, "attempts": strings.Join(e.verdicts, ","),
+		"took_ms": took.Milliseconds(), "account": req.accountName(), "server": e.server,
+	}
+	if e.refused != nil {
+		fields["status"] = e.refused.status
+	} else {
+		fields["status"] = e.status
+	}
+	if e.model != "" {
+		fields["model"] = e.model
+	}
+	if e.resumed > 0 {
+		fields["resumed"] = e.resumed
+	}
+	g.Log.WithFields(fields).Info("request ended")
+}
--- /dev/null
+++ b/internal/coordination/peers/peers.go
@@ -0,0 +1,188 @@
+// Package peers lets the instances of a fleet know which of them are running.
+// Each sends a short datagram to every other at a steady pace; who is not heard
+// of for a while is taken to be gone. Losing a datagram is harmless.
+package peers
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"medlarslip/internal/coordination/rollout"
+)
+
+const (
+	// interval is the pause between two datagrams to the same peer.
+	interval = 400 * time.Millisecond
+	// silence is the time after which a peer is taken to be gone: five lost
+	// datagrams in a row.
+	silence = 2 * time.Second
+	// maxDatagram bounds a datagram in bytes, well above what a fleet with a
+	// few roll-outs sends.
+	maxDatagram = 8 << 10
+)
+
+// Instance is what an instance says of itself.
+type Instance struct {
+	Name string `json:"name"`
+	// Run names one run of the process.
+	Run string `json:"run"`
+	// FailureDomain is where the instance runs.
+	FailureDomain string `json:"failure_domain"`
+	// Address is where clients connect to it.
+	Address string `json:"address"`
+	// PeerAddress is where it takes datagrams.
+	PeerAddress string `json:"peer_address"`
+	// Ready is true while it should get new clients.
+	Ready bool `json:"ready"`
+	// Leaving is true once it has begun a planned stop.
+	Leaving bool `json:"leaving"`
+	// Shares are its counts of the roll-outs that are open.
+	Shares []rollout.Share `json:"shares,omitempty"`
+}
+
+type peer struct {
+	instance Instance
+	heardAt  time.Time
+}
+
+// Table knows the other instances. It is safe for concurrent use.
+type Table struct {
+	self  func() Instance
+	merge func(source string, shares []rollout.Share)
+	now   func() time.Time
+	mu    sync.Mutex
+	peers map[string]*peer // by name
+}
+
+// New returns a table. self returns what this instance says of itself; merge
+// takes the counts of roll-outs that a peer sends.
+func New(self func() Instance, merge func(source string, shares []rollout.Share), now func() time.Time) *Table {
+	return &Table{self: self, merge: merge, now: now, peers: map[string]*peer{}}
+}
+
+// Add makes an instance known of which only a record was read. It counts as
+// running only once it is heard.
+func (t *Table) Add(instance Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.peers[instance.Name]; known || instance.Name == t.self().Name {
+		return
+	}
+	t.peers[instance.Name] = &peer{instance: instance}
+}
+
+// hear takes over a datagram.
+func (t *Table) hear(instance Instance) {
+	if instance.Name == "" || instance.Name == t.self().Name {
+		return
+	}
+	t.merge(instance.Name+"/"+instance.Run, instance.Shares)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	instance.Shares = nil
+	t.peers[instance.Name] = &peer{instance: instance, heardAt: t.now()}
+}
+
+// Known returns the number of instances that were ever heard of, with this
+// one.
+func (t *Table) Known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers) + 1
+}
+
+// Running returns the instances that are running, with this one, in the order
+// of their names.
+func (t *Table) Running() []Instance {
+	self := t.self()
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running := []Instance{self}
+	for _, p := range t.peers {
+		if !p.heardAt.IsZero() && now.Sub(p.heardAt) < silence {
+			running = append(running, p.instance)
+		}
+	}
+	slices.SortFunc(running, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return running
+}
+
+// addresses returns where datagrams are sent.
+func (t *Table) addresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addresses := make([]string, 0, len(t.peers))
+	for _, p := range t.peers {
+		addresses = append(addresses, p.instance.PeerAddress)
+	}
+	return addresses
+}
+
+// Run sends and receives datagrams on conn until ctx ends.
+func (t *Table) Run(ctx context.Context, conn net.PacketConn) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	group.Go(func() error { return t.receive(ctx, conn) })
+	group.Go(func() error { return t.send(ctx, conn) })
+	return group.Wait()
+}
+
+func (t *Table) receive(ctx context.Context, conn net.PacketConn) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			// An earlier datagram met a closed port; its peer shows as silent.
+			continue
+		}
+		var instance Instance
+		if json.Unmarshal(buffer[:n], &instance) == nil {
+			t.hear(instance)
+		}
+	}
+}
+
+func (t *Table) send(ctx context.Context, conn net.PacketConn) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		t.sendAll(conn)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// sendAll sends one datagram to every peer. A failed send shows at the peer as
+// a lost datagram.
+func (t *Table) sendAll(conn net.PacketConn) {
+	datagram, err := json.Marshal(t.self())
+	if err != nil || len(datagram) > maxDatagram {
+		return
+	}
+	for _, address := range t.addresses() {
+		target, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			continue
+		}
+		_, _ = conn.WriteTo(datagram, target)
+	}
+}
--- a/internal/coordination/rollout/counts.go
+++ b/internal/coordination/rollout/counts.go
@@ -17,7 +17,8 @@
 	Slow  uint64 `json:"slow"`
 }
 
-func (c *Counts) add(o Counts) {
+// Add adds the counts of another instance.
+func (c *Counts) Add(o Counts) {
 	c.Answers += o.Answers
 	c.Failed += o.Failed
 	c.Rated += o.Rated
@@ -35,10 +36,10 @@
 	}
 }
 
-// join keeps the higher of each counter, so that exports may arrive late,
+// Join keeps the higher of each counter, so that exports may arrive late,
 // twice or out of order (grow-only counter: Shapiro et al., Conflict-free
 // Replicated Data Types, 2011).
-func (c *Counts) join(o Counts) {
+func (c *Counts) Join(o Counts) {
 	c.Answers = max(c.Answers, o.Answers)
 	c.Failed = max(c.Failed, o.Failed)
 	c.Rated = max(c.Rated, o.Rated)
--- a/internal/coordination/rollout/monitor.go
+++ b/internal/coordination/rollout/monitor.go
@@ -84,7 +84,7 @@
 	counts := m.countsOf(sample)
 	state := m.arm(Arm{Rollout: sample.Rollout, VersionID: sample.VersionID})
 	state.mu.Lock()
-	state.own.add(counts)
+	state.own.Add(counts)
 	state.lastAt = m.now()
 	state.mu.Unlock()
 	if counts.Below+counts.Failed+counts.Slow > 0 {
@@ -198,7 +198,7 @@
 	defer state.mu.Unlock()
 	sum := state.own
 	for _, counts := range state.peers {
-		sum.add(counts)
+		sum.Add(counts)
 	}
 	return sum
 }
@@ -260,7 +260,7 @@
 		state := m.arm(share.Arm)
 		state.mu.Lock()
 		counts := state.peers[instance]
-		counts.join(share.Counts)
+		counts.Join(share.Counts)
 		state.peers[instance] = counts
 		state.mu.Unlock()
 		changed[share.Arm.Rollout] = true
--- a/internal/coordination/routing/filter.go
+++ b/internal/coordination/routing/filter.go
@@ -19,6 +19,7 @@
 	filterLeaving,
 	filterDomain,
 	filterExcluded,
+	filterAdmit,
 	filterBreaker,
 	filterCold,
 }
@@ -53,6 +54,13 @@
 	return dropIf(slices.Contains(req.Exclude, candidate.Server.Server.ID), DroppedExcluded)
 }
 
+func filterAdmit(req *Request, candidate *Candidate) string {
+	if req.Admit == nil {
+		return ""
+	}
+	return req.Admit(&candidate.Server)
+}
+
 // filterCold bounds the calls in flight to a server that is not warm.
 func filterCold(req *Request, candidate *Candidate) string {
 	if req.ColdBound == nil {
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -34,6 +34,9 @@
 	// ColdBound returns how many calls this instance may have in flight to a
 	// server that is not warm; negative means that the server is warm.
 	ColdBound func(server *backends.Snapshot) int
+	// Admit returns why a server must not get the request, or the empty
+	// string; nil admits every server that the other filters leave.
+	Admit func(server *backends.Snapshot) string
 }
 
 // View is the servers of one target at the moment of a decision. Only the
--- /dev/null
+++ b/internal/coordination/staging/decide.go
@@ -0,0 +1,114 @@
+package staging
+
+import (
+	"time"
+
+	"medlarslip/internal/coordination/rollout"
+)
+
+// Export returns the counts of this instance for its peers.
+func (c *Controller) Export() []rollout.Share {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shares := make([]rollout.Share, 0, len(c.counts))
+	for arm, counts := range c.counts {
+		if _, open := c.orders[arm.Rollout]; open {
+			shares = append(shares, rollout.Share{Arm: arm, Counts: counts})
+		}
+	}
+	return shares
+}
+
+// Merge takes over the counts of a peer, which it gives in full each time.
+// source names one run of the peer.
+func (c *Controller) Merge(source string, shares []rollout.Share) {
+	if len(shares) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := c.peers[source]
+	if counts == nil {
+		counts = map[rollout.Arm]rollout.Counts{}
+		c.peers[source] = counts
+	}
+	for _, share := range shares {
+		joined := counts[share.Arm]
+		joined.Join(share.Counts)
+		counts[share.Arm] = joined
+	}
+}
+
+// Decision is a status that should be agreed, with its reason.
+type Decision struct {
+	Status Status
+	Reason string
+	// Due is when it became due.
+	Due time.Time
+}
+
+// Decide returns what should be agreed now. serving returns the number of
+// servers of a version that take requests.
+func (c *Controller) Decide(serving func(service, version string) int) []Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due []Decision
+	for service, s := range c.orders {
+		status, agreed := c.statuses[service]
+		sameTarget := agreed && status.Target == s.order.Target
+		if sameTarget && status.State != Running {
+			continue
+		}
+		if decision, ok := c.decide(s, sameTarget, serving); ok {
+			due = append(due, decision)
+		}
+	}
+	return due
+}
+
+func (c *Controller) decide(s *staged, announced bool, serving func(service, version string) int) (Decision, bool) {
+	oldArm, newArm := c.pool(s.order.Service, s.order.Target)
+	if s.worse == "" {
+		s.worse = s.detector.Worse(oldArm, newArm)
+	}
+	decideAt := s.seenAt.Add(time.Duration(decideShare * float64(s.order.Within)))
+	switch {
+	case s.worse != "":
+		return c.dueNow(s, RolledBack, s.worse), true
+	case !c.now().Before(decideAt) && serving(s.order.Service, s.order.Target) > 0:
+		return c.dueNow(s, Succeeded, "not_worse"), true
+	case !announced:
+		return c.dueNow(s, Running, "ordered"), true
+	}
+	return Decision{}, false
+}
+
+// dueNow returns a decision with the moment at which it first was due.
+func (c *Controller) dueNow(s *staged, state State, reason string) Decision {
+	if s.due != state {
+		s.due, s.dueAt = state, c.now()
+	}
+	status := Status{Service: s.order.Service, Target: s.order.Target, State: state}
+	return Decision{Status: status, Reason: reason, Due: s.dueAt}
+}
+
+// pool sums the counts of all instances for the target and for the versions
+// that it replaces.
+func (c *Controller) pool(service, target string) (oldArm, newArm rollout.Counts) {
+	add := func(counts map[rollout.Arm]rollout.Counts) {
+		for arm, n := range counts {
+			switch {
+			case arm.Rollout != service:
+			case arm.VersionID == target:
+				newArm.Add(n)
+			default:
+				oldArm.Add(n)
+			}
+		}
+	}
+	add(c.counts)
+	for _, counts := range c.peers {
+		add(counts)
+	}
+	return oldArm, newArm
+}
--- /dev/null
+++ b/internal/coordination/staging/staging.go
@@ -0,0 +1,213 @@
+// Package staging moves the traffic of a service to a new version by order of
+// an operator: a small share of the sessions goes to the new version, what all
+// instances see of both versions is pooled, and the new version is taken over
+// or turned away.
+package staging
+
+import (
+	"sync"
+	"time"
+
+	"medlarslip/internal/coordination/rollout"
+)
+
+// State is where a roll-out stands.
+type State string
+
+// States of a roll-out.
+const (
+	// Running: a share of the sessions goes to the new version.
+	Running State = "running"
+	// Succeeded: all traffic goes to the new version.
+	Succeeded State = "succeeded"
+	// RolledBack: nothing goes to the new version.
+	RolledBack State = "rolled_back"
+)
+
+// Order asks for the traffic of a service to be moved to a version.
+type Order struct {
+	Service string
+	Target  string
+	// Within is the time from the order to its deadline.
+	Within time.Duration
+}
+
+// Status is what was agreed of a roll-out.
+type Status struct {
+	Service string
+	Target  string
+	State   State
+}
+
+const (
+	// decideShare is the part of an order's time after which a version that
+	// is not worse is taken over.
+	decideShare = 0.75
+	// hashScale is the number of steps in which a share is counted.
+	hashScale = 10000
+)
+
+// Controller holds the orders in force. It is safe for concurrent use.
+type Controller struct {
+	instance string
+	share    func() float64
+	now      func() time.Time
+	mu       sync.Mutex
+	orders   map[string]*staged // by service
+	statuses map[string]Status  // by service
+	counts   map[rollout.Arm]rollout.Counts
+	peers    map[string]map[rollout.Arm]rollout.Counts // by instance
+}
+
+type staged struct {
+	order    Order
+	seenAt   time.Time
+	detector rollout.Detector
+	worse    string
+	// due is the state that should be agreed, since dueAt.
+	due   State
+	dueAt time.Time
+}
+
+// New returns a controller of the named instance. share returns the part of
+// the sessions, 0 to 1, that a new version gets.
+func New(instance string, share func() float64, now func() time.Time) *Controller {
+	return &Controller{
+		instance: instance, share: share, now: now,
+		orders:   map[string]*staged{},
+		statuses: map[string]Status{},
+		counts:   map[rollout.Arm]rollout.Counts{},
+		peers:    map[string]map[rollout.Arm]rollout.Counts{},
+	}
+}
+
+// SetOrder takes over an order; one that is known already goes on.
+func (c *Controller) SetOrder(order Order) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.orders[order.Service]; ok && known.order == order {
+		return
+	}
+	c.orders[order.Service] = &staged{order: order, seenAt: c.now()}
+}
+
+// RemoveOrder forgets the order of a service. What was agreed stays.
+func (c *Controller) RemoveOrder(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.orders, service)
+}
+
+// SetStatus takes over what was agreed. A roll-out that has ended stays ended.
+func (c *Controller) SetStatus(status Status) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.statuses[status.Service]
+	if ok && known.Target == status.Target && known.State != Running {
+		return
+	}
+	c.statuses[status.Service] = status
+}
+
+// Status returns what was agreed for a service.
+func (c *Controller) Status(service string) (Status, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status, ok := c.statuses[service]
+	return status, ok
+}
+
+// Stage says which versions of a service a request may go to.
+type Stage struct {
+	// Only names the version that is meant; empty means any but Not.
+	Only string
+	// Not names a version that is not meant; empty for none.
+	Not string
+	// Barred names a version that must not be used; empty for none.
+	Barred string
+}
+
+// Admits reports whether the version is within the stage.
+func (s Stage) Admits(version string) bool {
+	switch {
+	case s.Barred != "" && version == s.Barred:
+		return false
+	case s.Only != "":
+		return version == s.Only
+	default:
+		return s.Not == "" || version != s.Not
+	}
+}
+
+// Widened returns the stage for the case that no server within it is left. A
+// new version that is not yet agreed does not take over what the old served.
+func (s Stage) Widened() Stage {
+	if s.Only != "" {
+		return Stage{Barred: s.Barred}
+	}
+	return s
+}
+
+// Stage returns the versions for requests of a session.
+func (c *Controller) Stage(service string, session uint64) Stage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status, agreed := c.statuses[service]
+	order, ordered := c.orders[service]
+	if agreed && status.State != Running && (!ordered || order.order.Target == status.Target) {
+		return endedStage(status)
+	}
+	barred := ""
+	if agreed && status.State == RolledBack {
+		barred = status.Target
+	}
+	switch {
+	case !ordered:
+		return Stage{Barred: barred}
+	case order.worse == "" && float64(session%hashScale) < c.share()*hashScale:
+		return Stage{Only: order.order.Target, Barred: barred}
+	default:
+		return Stage{Not: order.order.Target, Barred: barred}
+	}
+}
+
+func endedStage(status Status) Stage {
+	if status.State == RolledBack {
+		return Stage{Barred: status.Target}
+	}
+	return Stage{Only: status.Target}
+}
+
+// Observation is what one ended attempt says of a version.
+type Observation struct {
+	Service string
+	Version string
+	Failed  bool
+	// Timed is true if the time of the answer was compared, Slow if it was far
+	// longer than usual.
+	Timed bool
+	Slow  bool
+}
+
+// Observe counts an attempt while a roll-out of its service is open.
+func (c *Controller) Observe(o Observation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.orders[o.Service]; !ok {
+		return
+	}
+	arm := rollout.Arm{Rollout: o.Service, VersionID: o.Version}
+	counts := c.counts[arm]
+	counts.Answers++
+	counts.Failed += toCount(o.Failed)
+	counts.Timed += toCount(o.Timed)
+	counts.Slow += toCount(o.Timed && o.Slow)
+	c.counts[arm] = counts
+}
+
+func toCount(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/protocol/routes/index.go
@@ -0,0 +1,93 @@
+package routes
+
+import "strings"
+
+// Index is a compiled Table. It is not changed after Compile and is safe for
+// concurrent use.
+type Index struct {
+	Version  int64
+	Limits   Limits
+	byHost   map[string]*hostRoutes
+	services map[string]*Service
+	byKey    map[string]*Account
+	keyed    bool
+}
+
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// deepest is the highest number of slashes in a prefix of the host.
+	deepest int
+}
+
+// Compile makes an index of a table. The table must not be changed afterwards.
+func Compile(table *Table) *Index {
+	index := &Index{
+		Version:  table.Version,
+		Limits:   table.Limits,
+		byHost:   map[string]*hostRoutes{},
+		services: make(map[string]*Service, len(table.Services)),
+		byKey:    map[string]*Account{},
+		keyed:    table.Accounts != nil,
+	}
+	for i := range table.Routes {
+		index.addRoute(&table.Routes[i])
+	}
+	for i := range table.Services {
+		index.services[table.Services[i].Name] = &table.Services[i]
+	}
+	for i := range table.Accounts {
+		for _, key := range table.Accounts[i].Keys {
+			index.byKey[key] = &table.Accounts[i]
+		}
+	}
+	return index
+}
+
+func (x *Index) addRoute(route *Route) {
+	host := strings.ToLower(route.Host)
+	routes, ok := x.byHost[host]
+	if !ok {
+		routes = &hostRoutes{byPrefix: map[string]*Route{}}
+		x.byHost[host] = routes
+	}
+	routes.byPrefix[route.PathPrefix] = route
+	routes.deepest = max(routes.deepest, strings.Count(route.PathPrefix, "/"))
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path, or nil. Its cost grows with the depth of the path, not with the
+// number of routes.
+func (x *Index) Match(host, path string) *Route {
+	routes := x.byHost[strings.ToLower(host)]
+	if routes == nil {
+		return nil
+	}
+	end, depth := 0, 0
+	var found *Route
+	for depth < routes.deepest {
+		next := strings.IndexByte(path[end:], '/')
+		if next < 0 {
+			break
+		}
+		end += next + 1
+		depth++
+		if route, ok := routes.byPrefix[path[:end]]; ok {
+			found = route
+		}
+	}
+	return found
+}
+
+// Service returns the service of the given name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// NeedsKey reports whether a request of the route must carry a key.
+func (x *Index) NeedsKey(route *Route) bool { return x.keyed && !route.Public }
+
+// Account returns the client account that holds the key, or nil.
+func (x *Index) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return x.byKey[key]
+}
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -23,6 +23,17 @@
 	Leaving       bool
 	// Incarnation changes with every start of the server.
 	Incarnation string
+	// Version is the version of the server's software; empty if unknown.
+	Version string
+	// Slots is the number of requests that the server runs at once; 0 if
+	// unknown.
+	Slots int
+	// ColdUntil is when the server has warmed up by its own account; zero if
+	// it gives none.
+	ColdUntil time.Time
+	// Unconfirmed is true for a server whose entry is missing for a reason that
+	// need not be its own; it is used where there is no other.
+	Unconfirmed bool
 }
 
 // Load is what a backend server reported of itself.
--- /dev/null
+++ b/internal/transport/httpconn/dialer.go
@@ -0,0 +1,38 @@
+package httpconn
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// probeInterval is the pause between two keep-alive probes.
+	probeInterval = time.Second
+	// probeCount is the number of unanswered probes that end a connection.
+	probeCount = 2
+)
+
+// newDialer returns the dialer of a pool. With an UnackedTimeout a peer that
+// falls silent without closing is noticed within a few seconds.
+func newDialer(opts *Options) net.Dialer {
+	dialer := net.Dialer{Timeout: opts.ConnectTimeout}
+	if opts.UnackedTimeout <= 0 {
+		return dialer
+	}
+	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
+	millis := int(opts.UnackedTimeout.Milliseconds())
+	dialer.Control = func(_, _ string, c syscall.RawConn) error {
+		var optErr error
+		err := c.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, millis)
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
+	}
+	return dialer
+}
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -26,6 +26,9 @@
 	MaxIdle int
 	// MaxBody bounds a whole response body in bytes.
 	MaxBody int
+	// UnackedTimeout closes a connection whose peer has not acknowledged sent
+	// bytes or keep-alive probes for so long; 0 leaves it to the kernel.
+	UnackedTimeout time.Duration
 	// TLS returns the configuration for the server at an IP number; nil means
 	// plain HTTP.
 	TLS func(ip string) *tls.Config
@@ -56,7 +59,7 @@
 func NewPool(opts Options) *Pool {
 	return &Pool{
 		opts:   opts,
-		dialer: net.Dialer{Timeout: opts.ConnectTimeout},
+		dialer: newDialer(&opts),
 		idle:   map[string][]*conn{},
 	}
 }
@@ -80,7 +83,8 @@
 	writer      *bufio.Writer
 	idleTimeout time.Duration
 	usedBefore  bool
-	idleSince   time.Time
+	// usableUntil is when an unused connection is no longer taken.
+	usableUntil time.Time
 }
 
 // Read waits at most the idle timeout for the next bytes.
@@ -106,22 +110,30 @@
 		return nil
 	}
 	last := conns[len(conns)-1]
-	if time.Since(last.idleSince) > p.opts.KeepAlive {
+	p.idle[address] = conns[:len(conns)-1]
+	if time.Now().After(last.usableUntil) {
 		closeAll(conns)
 		delete(p.idle, address)
 		return nil
 	}
-	p.idle[address] = conns[:len(conns)-1]
 	return last
 }
 
-func (p *Pool) put(c *conn) {
+func (p *Pool) put(c *conn) { p.putFor(c, 0) }
+
+// putFor keeps a connection for the time that its server named, or for that of
+// the options if it is shorter or none was named.
+func (p *Pool) putFor(c *conn, named time.Duration) {
+	usable := p.opts.KeepAlive
+	if named > 0 {
+		usable = min(usable, named)
+	}
 	if c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
 	c.usedBefore = true
-	c.idleSince = time.Now()
+	c.usableUntil = time.Now().Add(usable)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[c.address]
--- /dev/null
+++ b/internal/transport/httpconn/raw.go
@@ -0,0 +1,213 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// RawRequest is a request whose bytes the caller has put together.
+type RawRequest struct {
+	Method string
+	// Head is the request line and the header with its final empty line.
+	Head []byte
+	Body []byte
+}
+
+// Exchange is a response whose body is read as it arrives. Unlike Stream it
+// accepts a body that ends with its connection, as long as the connection was
+// closed in order (RFC 9112, section 6.3); a reset is an error of Read.
+type Exchange struct {
+	// Response is the header of the response; its body is read through Read.
+	Response *http.Response
+	// Reused is true if the connection had carried a request before.
+	Reused  bool
+	pool    *Pool
+	conn    *conn
+	stop    func() bool
+	written <-chan error
+	end     bool
+}
+
+// asyncBodyBytes is the size in bytes from which a body is written beside the
+// reading of the response, since a server may answer before it has read all.
+const asyncBodyBytes = 16 << 10
+
+// Exchange sends a request to address and returns as soon as the header of
+// the response has arrived. The caller must Close it. The error is a
+// *CallError. The end of ctx closes the connection.
+func (p *Pool) Exchange(ctx context.Context, address string, req RawRequest, reuse Reuse) (*Exchange, error) {
+	if reuse == ReuseIdle {
+		if c := p.takeLive(address); c != nil {
+			x, err := p.rawRoundTrip(ctx, c, req)
+			if err == nil || !isStale(err) || ctx.Err() != nil {
+				return x, err
+			}
+		}
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, &CallError{Phase: PhaseConnect, Address: address, Err: err}
+	}
+	if err := ctx.Err(); err != nil {
+		_ = c.Close()
+		return nil, &CallError{Phase: PhaseConnect, Address: address, Err: err}
+	}
+	return p.rawRoundTrip(ctx, c, req)
+}
+
+// takeLive returns an unused connection on which nothing has arrived since its
+// last response. What arrives unasked belongs to no request.
+func (p *Pool) takeLive(address string) *conn {
+	for c := p.take(address); c != nil; c = p.take(address) {
+		if c.quiet() {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+// quiet reports whether the connection is open and has nothing to read.
+func (c *conn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, readErr := unix.Read(int(fd), one[:])
+		quiet = errors.Is(readErr, unix.EAGAIN)
+		return true
+	})
+	return quiet && err == nil
+}
+
+// rawRoundTrip closes the connection where it fails.
+func (p *Pool) rawRoundTrip(ctx context.Context, c *conn, req RawRequest) (*Exchange, error) {
+	x := &Exchange{pool: p, conn: c, Reused: c.usedBefore}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	err := x.writeAndRead(req)
+	if err == nil {
+		return x, nil
+	}
+	x.stop()
+	_ = c.Close()
+	if cause := context.Cause(ctx); cause != nil {
+		err.Err = cause
+	}
+	return nil, err
+}
+
+func (x *Exchange) writeAndRead(req RawRequest) *CallError {
+	c := x.conn
+	if err := x.write(req); err != nil {
+		return &CallError{Phase: PhaseRequest, Address: c.address, Err: err, stale: c.usedBefore}
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err, stale: c.usedBefore && !isTimeout(err)}
+	}
+	resp, err := readHeader(c.reader, req.Method)
+	if err != nil {
+		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err}
+	}
+	x.Response = resp
+	return nil
+}
+
+func (x *Exchange) write(req RawRequest) error {
+	c := x.conn
+	if err := c.SetWriteDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+		return err
+	}
+	if len(req.Body) <= asyncBodyBytes {
+		_, err := c.Write(append(req.Head[:len(req.Head):len(req.Head)], req.Body...))
+		return err
+	}
+	written := make(chan error, 1)
+	x.written = written
+	go func() {
+		buffers := net.Buffers{req.Head, req.Body}
+		_, err := buffers.WriteTo(c.Conn)
+		written <- err
+	}()
+	return nil
+}
+
+// readHeader reads the first final response; interim ones are passed over.
+func readHeader(reader *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// Read reads the next bytes of the body. io.EOF comes only at its end.
+func (x *Exchange) Read(b []byte) (int, error) {
+	n, err := x.Response.Body.Read(b)
+	x.end = errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close ends the call. The connection is kept only where the response was read
+// to its end, nothing came after it, and the request had been written whole.
+func (x *Exchange) Close() {
+	ended := x.stop()
+	if !ended || !x.end || x.Response.Close || !x.wroteAll() {
+		_ = x.conn.Close()
+		return
+	}
+	x.pool.putFor(x.conn, keepAlive(x.Response.Header))
+}
+
+func (x *Exchange) wroteAll() bool {
+	if x.written == nil {
+		return true
+	}
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// keepAliveShare is the part of the time named by a server after which a
+// connection is no longer used, so that a request does not cross the close.
+const keepAliveShare = 0.5
+
+// keepAlive returns how long the server keeps the connection; 0 if it does not
+// say.
+func keepAlive(header http.Header) time.Duration {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return time.Duration(float64(seconds) * keepAliveShare * float64(time.Second))
+	}
+	return 0
+}
