Keep the version of active sessions through a roll-out

Instances now tell each other which sessions they lately saw on the old version. Ruled out: hashing another part of the prompt; the session has a header.

--- a/internal/coordination/gateway/codec.go
+++ b/internal/coordination/gateway/codec.go
@@ -35,6 +35,8 @@
 	MaxOutputTokens int
 	// LastEventID is the event after which the client asks to go on.
 	LastEventID string
+	// Session names the session that the request belongs to; empty if none.
+	Session string
 }
 
 // Attempt is what the header of one request to a backend server says.
--- a/internal/coordination/gateway/keys.go
+++ b/internal/coordination/gateway/keys.go
@@ -17,11 +17,11 @@
 	r.service = chooseTarget(r.route, r.session)
 }
 
-// sessionHash is the same for all requests of a session, which end with the
-// same part of a prompt.
+// sessionHash is the same for all requests of a session; a request without one
+// is a session of its own.
 func sessionHash(call *Call) uint64 {
-	if n := len(call.Prompt); n > 0 {
-		return xxhash.Sum64String(call.Prompt[n-1].ID)
+	if call.Session != "" {
+		return xxhash.Sum64String(call.Session)
 	}
 	return xxhash.Sum64String(call.ID)
 }
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/coordination/rollout"
+	"medlarslip/internal/coordination/staging"
 )
 
 const (
@@ -46,6 +47,8 @@
 	Leaving bool `json:"leaving"`
 	// Shares are its counts of the roll-outs that are open.
 	Shares []rollout.Share `json:"shares,omitempty"`
+	// Sightings are the sessions that it lately saw on an old version.
+	Sightings []staging.Sighting `json:"sightings,omitempty"`
 }
 
 type peer struct {
@@ -56,15 +59,15 @@
 // Table knows the other instances. It is safe for concurrent use.
 type Table struct {
 	self  func() Instance
-	merge func(source string, shares []rollout.Share)
+	merge func(heard *Instance)
 	now   func() time.Time
 	mu    sync.Mutex
 	peers map[string]*peer // by name
 }
 
 // New returns a table. self returns what this instance says of itself; merge
-// takes the counts of roll-outs that a peer sends.
-func New(self func() Instance, merge func(source string, shares []rollout.Share), now func() time.Time) *Table {
+// takes what a peer says beside.
+func New(self func() Instance, merge func(heard *Instance), now func() time.Time) *Table {
 	return &Table{self: self, merge: merge, now: now, peers: map[string]*peer{}}
 }
 
@@ -84,10 +87,10 @@
 	if instance.Name == "" || instance.Name == t.self().Name {
 		return
 	}
-	t.merge(instance.Name+"/"+instance.Run, instance.Shares)
+	t.merge(&instance)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	instance.Shares = nil
+	instance.Shares, instance.Sightings = nil, nil
 	t.peers[instance.Name] = &peer{instance: instance, heardAt: t.now()}
 }
 
--- a/internal/coordination/staging/staging.go
+++ b/internal/coordination/staging/staging.go
@@ -57,6 +57,7 @@
 	statuses map[string]Status  // by service
 	counts   map[rollout.Arm]rollout.Counts
 	peers    map[string]map[rollout.Arm]rollout.Counts // by instance
+	sessions sightings
 }
 
 type staged struct {
@@ -78,6 +79,7 @@
 		statuses: map[string]Status{},
 		counts:   map[rollout.Arm]rollout.Counts{},
 		peers:    map[string]map[rollout.Arm]rollout.Counts{},
+		sessions: newSightings(),
 	}
 }
 
@@ -148,7 +150,8 @@
 	return s
 }
 
-// Stage returns the versions for requests of a session.
+// Stage returns the versions for requests of a session. A session that is
+// active on the old version keeps it.
 func (c *Controller) Stage(service string, session uint64) Stage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -161,13 +164,15 @@
 	if agreed && status.State == RolledBack {
 		barred = status.Target
 	}
+	chosen := float64(session%hashScale) < c.share()*hashScale
+	stays := !chosen || c.stay(service, session, ordered)
 	switch {
 	case !ordered:
 		return Stage{Barred: barred}
-	case order.worse == "" && float64(session%hashScale) < c.share()*hashScale:
-		return Stage{Only: order.order.Target, Barred: barred}
-	default:
+	case stays || order.worse != "":
 		return Stage{Not: order.order.Target, Barred: barred}
+	default:
+		return Stage{Only: order.order.Target, Barred: barred}
 	}
 }
 
