Count repeats over the whole window, and bound cold servers where instances outnumber requests

Cause: two tests of the bounds failed first. Now the oldest bucket counts for repeats only, and where there are more instances than requests, only the first of a rendezvous order may send. Ruled out: a lease; a paused holder would believe in it.

--- /dev/null
+++ b/internal/coordination/gateway/bounds_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestBudgetHoldsInEveryWindow sends at random over many instances and counts
+// repeats in every sliding window, as the bound is stated.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	const instances, seeds = 8, 8
+	opts := &BudgetOptions{Window: 10 * time.Second, Ratio: 0.9, Slack: 56}
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		budgets := make([]budget, instances)
+		var firsts, repeats []time.Time
+		now := time.Unix(1000, 0)
+		for range 3000 {
+			now = now.Add(time.Duration(random.IntN(int(40 * time.Millisecond))))
+			b := &budgets[random.IntN(instances)]
+			if random.IntN(3) == 0 {
+				b.first(now, opts)
+				firsts = append(firsts, now)
+			} else if b.take(now, opts, repeatShare, instances) {
+				repeats = append(repeats, now)
+			}
+		}
+		for i := range repeats {
+			end := repeats[i].Add(opts.Window)
+			within := count(repeats[i:], end)
+			// The bound takes the busiest of this window and the one before it.
+			first := max(countBetween(firsts, repeats[i], end), countBetween(firsts, repeats[i].Add(-opts.Window), repeats[i]),
+				countBetween(firsts, repeats[i].Add(-opts.Window/2), end.Add(-opts.Window/2)))
+			must.LessEq(t, opts.Ratio*float64(first)+opts.Slack, float64(within), must.Sprint(seed))
+		}
+	}
+}
+
+func count(times []time.Time, end time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.Before(end) {
+			n++
+		}
+	}
+	return n
+}
+
+func countBetween(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestColdSharesHoldTogether has more instances than any of them knows of send
+// as much as they may, and counts each second.
+func TestColdSharesHoldTogether(t *testing.T) {
+	opts := &ColdOptions{Overshoot: 1.5, Slack: 5}
+	for _, c := range []struct {
+		perSecond     float64
+		known, really int
+	}{{14, 8, 11}, {13, 9, 13}, {8.8, 66, 75}, {1, 3, 4}, {0.2, 66, 90}} {
+		bound := c.perSecond*opts.Overshoot + opts.Slack
+		random := rand.New(rand.NewPCG(1, uint64(c.known)))
+		gates := make([]*coldGate, c.really)
+		for i := range gates {
+			gates[i] = newColdGate()
+		}
+		var sent []time.Time
+		now := time.Unix(1000, 0)
+		for range 8000 {
+			now = now.Add(time.Duration(random.IntN(int(5 * time.Millisecond))))
+			instance := random.IntN(c.really)
+			// Those that are not known yet see themselves in any place.
+			perWindow := coldShare(c.perSecond, opts, c.known, instance*c.known/c.really)
+			if gates[instance].open("s", now, perWindow, true) {
+				sent = append(sent, now)
+			}
+		}
+		must.Positive(t, len(sent))
+		for i := range sent {
+			must.LessEq(t, bound, float64(count(sent[i:], sent[i].Add(time.Second))), must.Sprintf("%+v", c))
+		}
+	}
+}
+
+// TestProofOfConfiguration explores every order of a revocation, a read of the
+// store and a request in small steps, with suspensions of the machine at any
+// step, and checks that no request which was sent a bound after the revocation
+// passes. With the end of a read as its proof, as a rule broken on purpose,
+// the exploration must find a request that passes.
+func TestProofOfConfiguration(t *testing.T) {
+	must.Zero(t, explore(func(r read) int { return r.started }))
+	must.Positive(t, explore(func(r read) int { return r.ended }))
+}
+
+// read is one read of the store: what it saw is decided between its start and
+// its end.
+type read struct{ started, answered, ended int }
+
+func explore(provenAt func(read) int) int {
+	const steps, bound = 9, 3
+	violations := 0
+	for revoked := range steps {
+		for started := range steps {
+			for answered := started; answered < steps; answered++ {
+				for ended := answered; ended < steps; ended++ {
+					r := read{started, answered, ended}
+					for sent := revoked + bound + 1; sent < 2*steps; sent++ {
+						// The request is checked some time after it was sent; a
+						// suspended machine checks later still.
+						for checked := max(sent, ended); checked < 2*steps; checked++ {
+							seen := revoked <= answered
+							if !seen && checked-provenAt(r) <= bound {
+								violations++
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	return violations
+}
--- a/internal/coordination/gateway/budget.go
+++ b/internal/coordination/gateway/budget.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// budgetBuckets is the number of buckets that a window of a budget is counted
-// in; the oldest is dropped as a whole, which errs on the safe side.
-const budgetBuckets = 20
+const (
+	// windowBuckets is the number of buckets that a window of a budget is
+	// counted in.
+	windowBuckets = 20
+	// budgetBuckets is one more, since the oldest and the current bucket are
+	// each only partly within the window.
+	budgetBuckets = windowBuckets + 1
+)
 
 // BudgetOptions bound the requests to a service beyond the first of each
 // client request, over all instances.
@@ -32,7 +37,7 @@
 
 // advance empties the buckets that have left the window.
 func (b *budget) advance(now time.Time, window time.Duration) {
-	at := now.UnixNano() * budgetBuckets / int64(window)
+	at := now.UnixNano() / (int64(window) / windowBuckets)
 	if at-b.current >= budgetBuckets {
 		b.firsts, b.repeats = [budgetBuckets]int{}, [budgetBuckets]int{}
 		b.current = at
@@ -58,7 +63,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now, opts.Window)
-	firsts, repeats := sum(&b.firsts), sum(&b.repeats)
+	// First requests of the oldest bucket may have left the window; repeats of
+	// it may not.
+	firsts := sum(&b.firsts) - b.firsts[(b.current+1)%budgetBuckets]
+	repeats := sum(&b.repeats)
 	allowed := share * (opts.Ratio*float64(firsts) + opts.Slack/float64(max(instances, 1)))
 	if float64(repeats+1) > allowed {
 		return false
--- a/internal/coordination/gateway/cold.go
+++ b/internal/coordination/gateway/cold.go
@@ -33,27 +33,26 @@
 
 func newColdGate() *coldGate { return &coldGate{sent: map[string][]time.Time{}} }
 
-// coldShare returns how many requests this instance may send within a window, and
-// the length of that window.
-func coldShare(perSecond float64, opts *ColdOptions, instances int) (count int, window time.Duration) {
+// coldShare returns how many requests an instance may send within a coldWindow.
+// Where the server bears fewer than there are instances, only those of the
+// lowest ranks may send any.
+func coldShare(perSecond float64, opts *ColdOptions, instances, rank int) int {
 	bound := perSecond*opts.Overshoot + opts.Slack
-	own := bound / math.Ceil(float64(max(instances, 1))*spareInstances)
-	if own >= 1 {
-		return int(own), coldWindow
+	if own := bound / math.Ceil(float64(max(instances, 1))*spareInstances); own >= 1 {
+		return int(own)
 	}
-	return 1, time.Duration(float64(coldWindow) / max(own, minColdShare))
+	if float64(rank) < math.Floor(bound/spareInstances) {
+		return 1
+	}
+	return 0
 }
 
-// minColdShare keeps the window of a very small share finite, in requests a
-// second.
-const minColdShare = 0.01
-
 // open reports whether one more request may be sent; with take it is counted.
-func (g *coldGate) open(server string, now time.Time, count int, window time.Duration, take bool) bool {
+func (g *coldGate) open(server string, now time.Time, count int, take bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	recent := g.sent[server]
-	for len(recent) > 0 && now.Sub(recent[0]) >= window {
+	for len(recent) > 0 && now.Sub(recent[0]) >= coldWindow {
 		recent = recent[1:]
 	}
 	if len(recent) == 0 {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -51,6 +51,9 @@
 	Staging *staging.Controller
 	// Instances returns the number of instances that may be running.
 	Instances func() int
+	// Rank returns the place of this instance among those that may be running,
+	// in an order that depends on the key.
+	Rank func(key string) int
 	// FailureDomain is that of this instance.
 	FailureDomain string
 	Pool          *httpconn.Pool
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -107,6 +107,6 @@
 		return true
 	}
 	bounds := g.Bounds()
-	count, window := coldShare(service.ColdPerSecond, &bounds.Cold, g.Instances())
-	return g.cold.open(server.Server.ID, now, count, window, take)
+	count := coldShare(service.ColdPerSecond, &bounds.Cold, g.Instances(), g.Rank(server.Server.ID))
+	return g.cold.open(server.Server.ID, now, count, take)
 }
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -154,6 +154,7 @@
 	limit := r.index.Limits.BodyBytes
 	if limit > 0 {
 		if r.http.ContentLength > limit {
+			r.discardBody(w)
 			return &refuseTooLarge
 		}
 		reader = http.MaxBytesReader(w, r.http.Body, limit)
@@ -167,6 +168,21 @@
 	return bodyRefusal(err)
 }
 
+const (
+	// discardBytes and discardTime bound what is read of a body that is too
+	// large, so that its client can read the refusal: a connection that is
+	// closed with unread bytes is reset.
+	discardBytes = 1 << 20
+	discardTime  = time.Second
+)
+
+func (r *request) discardBody(w http.ResponseWriter) {
+	// A connection without deadlines is bounded by its idle timeout.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
+	// What can't be read needs no discarding.
+	_, _ = io.CopyN(io.Discard, r.http.Body, discardBytes)
+}
+
 func readSized(reader io.Reader, length int64) ([]byte, error) {
 	if length <= 0 {
 		return io.ReadAll(reader)
--- /dev/null
+++ b/internal/coordination/gateway/verdict_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/transport/httpconn"
+)
+
+// TestVerdicts is the table of how an attempt may end: what it means, and
+// whether a request that must not be repeated may be sent again.
+func TestVerdicts(t *testing.T) {
+	const id = "r"
+	sealed := func(status int) *Reply { return &Reply{Status: status, RequestID: id, Sealed: true} }
+	cases := []struct {
+		name string
+		got  verdict
+		want verdict
+		// repeat and repeatOnce: whether another attempt is allowed for requests
+		// that may run more than once, and for those that may not.
+		repeat, repeatOnce bool
+	}{
+		{"refused connection", judgeError(&httpconn.CallError{Phase: httpconn.PhaseConnect}), notRun, true, true},
+		{"reset while writing", judgeError(&httpconn.CallError{Phase: httpconn.PhaseRequest}), unknown, true, false},
+		{"reset before an answer", judgeError(&httpconn.CallError{Phase: httpconn.PhaseResponse}), unknown, true, false},
+		{"another error", judgeError(errors.New("x")), unknown, true, false},
+		{"whole answer", judgeReply(sealed(http.StatusOK), id), deliver, false, false},
+		{"answer without seal", judgeReply(&Reply{Status: http.StatusOK, RequestID: id}, id), unknown, true, false},
+		{"answer to another request", judgeReply(sealed(http.StatusOK), "s"), unknown, true, false},
+		{"answer without an ID", judgeReply(&Reply{Status: http.StatusOK, Sealed: true}, id), unknown, true, false},
+		{"full", judgeReply(&Reply{Status: http.StatusServiceUnavailable, NotRun: true}, id), notRun, true, true},
+		{"another server", judgeReply(&Reply{Status: http.StatusMisdirectedRequest, NotRun: true}, id), notRun, true, true},
+		{"429 without a promise", judgeReply(sealed(http.StatusTooManyRequests), id), unknown, true, false},
+		{"503 without a promise", judgeReply(sealed(http.StatusServiceUnavailable), id), unknown, true, false},
+		{"408 without a promise", judgeReply(sealed(http.StatusRequestTimeout), id), unknown, true, false},
+		{"500", judgeReply(sealed(http.StatusInternalServerError), id), serverFailed, true, false},
+		{"504", judgeReply(sealed(http.StatusGatewayTimeout), id), serverFailed, true, false},
+		{"404 of the server", judgeReply(sealed(http.StatusNotFound), id), deliver, false, false},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.want, c.got, must.Sprint(c.name))
+		must.Eq(t, c.repeat, mayRepeat(c.got, true), must.Sprint(c.name))
+		must.Eq(t, c.repeatOnce, mayRepeat(c.got, false), must.Sprint(c.name))
+	}
+}
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/coordination/rollout"
@@ -58,6 +59,7 @@
 
 // Table knows the other instances. It is safe for concurrent use.
 type Table struct {
+	name string
 	self  func() Instance
 	merge func(heard *Instance)
 	now   func() time.Time
@@ -65,10 +67,10 @@
 	peers map[string]*peer // by name
 }
 
-// New returns a table. self returns what this instance says of itself; merge
+// New returns a table of the named instance. self returns what this instance says of itself; merge
 // takes what a peer says beside.
-func New(self func() Instance, merge func(heard *Instance), now func() time.Time) *Table {
-	return &Table{self: self, merge: merge, now: now, peers: map[string]*peer{}}
+func New(name string, self func() Instance, merge func(heard *Instance), now func() time.Time) *Table {
+	return &Table{name: name, self: self, merge: merge, now: now, peers: map[string]*peer{}}
 }
 
 // Add makes an instance known of which only a record was read. It counts as
@@ -76,7 +78,7 @@
 func (t *Table) Add(instance Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, known := t.peers[instance.Name]; known || instance.Name == t.self().Name {
+	if _, known := t.peers[instance.Name]; known || instance.Name == t.name {
 		return
 	}
 	t.peers[instance.Name] = &peer{instance: instance}
@@ -84,7 +86,7 @@
 
 // hear takes over a datagram.
 func (t *Table) hear(instance Instance) {
-	if instance.Name == "" || instance.Name == t.self().Name {
+	if instance.Name == "" || instance.Name == t.name {
 		return
 	}
 	t.merge(&instance)
@@ -102,6 +104,22 @@
 	return len(t.peers) + 1
 }
 
+// Rank returns the place of this instance among all that were ever heard of, in
+// an order that depends on the key and on which all of them agree (rendezvous
+// hashing: Thaler and Ravishankar, 1998).
+func (t *Table) Rank(key string) int {
+	own := xxhash.Sum64String(key + "/" + t.name)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rank := 0
+	for name := range t.peers {
+		if xxhash.Sum64String(key+"/"+name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Running returns the instances that are running, with this one, in the order
 // of their names.
 func (t *Table) Running() []Instance {
--- /dev/null
+++ b/internal/coordination/peers/peers_test.go
@@ -0,0 +1,95 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"medlarslip/internal/coordination/peers"
+)
+
+// node is an instance on a loopback port with a clock of the test.
+type node struct {
+	mu    sync.Mutex
+	self  peers.Instance
+	table *peers.Table
+	conn  net.PacketConn
+	skew  time.Duration
+}
+
+func startNode(t *testing.T, name string) *node {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	n := &node{conn: conn, self: peers.Instance{Name: name, Run: "1", Address: name, PeerAddress: conn.LocalAddr().String(), Ready: true}}
+	n.table = peers.New(name, n.own, func(*peers.Instance) {}, n.now)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.table.Run(ctx, conn) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+	return n
+}
+
+func (n *node) own() peers.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self
+}
+
+func (n *node) now() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Add(n.skew)
+}
+
+func (n *node) change(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(10*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
+func (n *node) running() int { return len(n.table.Running()) }
+
+func TestInstancesFindEachOtherFromOneRecord(t *testing.T) {
+	a, b := startNode(t, "a"), startNode(t, "b")
+	must.Eq(t, 1, a.running())
+	// Only b has read the record of a; a learns of b from its datagrams.
+	b.table.Add(a.own())
+	eventually(t, func() bool { return a.running() == 2 && b.running() == 2 })
+	a.change(func() { a.self.Leaving = true })
+	eventually(t, func() bool { return b.table.Running()[0].Leaving })
+	must.Eq(t, 2, b.table.Known())
+}
+
+func TestSilentInstancesAreGone(t *testing.T) {
+	a, b := startNode(t, "a"), startNode(t, "b")
+	b.table.Add(a.own())
+	eventually(t, func() bool { return b.running() == 2 })
+	a.change(func() { a.self.Name = "" })
+	// A datagram that is on its way may still arrive before the clock moves.
+	eventually(t, func() bool {
+		b.change(func() { b.skew += 2 * time.Second })
+		return b.running() == 1
+	})
+	must.Eq(t, 2, b.table.Known())
+}
+
+func TestRecordsAloneDoNotMakeAnInstanceRun(t *testing.T) {
+	a := startNode(t, "a")
+	a.table.Add(peers.Instance{Name: "b", PeerAddress: "127.0.0.1:9"})
+	must.Eq(t, 1, a.running())
+	must.Eq(t, 2, a.table.Known())
+}
--- /dev/null
+++ b/internal/coordination/staging/staging_test.go
@@ -0,0 +1,166 @@
+package staging_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/staging"
+)
+
+const (
+	service = "drafts"
+	oldOne  = "v1"
+	newOne  = "v2"
+	// share is the part of the sessions that a new version gets in the tests.
+	share = 0.1
+)
+
+// clock is a virtual clock.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time          { return c.at }
+func (c *clock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+type fleet struct {
+	clock       *clock
+	controllers []*staging.Controller
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{clock: &clock{at: time.Unix(1000, 0)}}
+	for range size {
+		f.controllers = append(f.controllers, staging.New("n", func() float64 { return share }, f.clock.now))
+	}
+	return f
+}
+
+func (f *fleet) order(target string, within time.Duration) {
+	for _, c := range f.controllers {
+		c.SetOrder(staging.Order{Service: service, Target: target, Within: within})
+	}
+}
+
+// exchange lets every instance hear every other.
+func (f *fleet) exchange() {
+	for i, from := range f.controllers {
+		for j, to := range f.controllers {
+			if i != j {
+				to.Hear(from.Sightings())
+				to.Merge(string(rune('a'+i)), from.Export())
+			}
+		}
+	}
+}
+
+func (f *fleet) observe(version string, times int, failed bool) {
+	for i := range times {
+		f.controllers[i%len(f.controllers)].Observe(staging.Observation{Service: service, Version: version, Failed: failed})
+	}
+}
+
+func (f *fleet) decide(i int) []staging.Decision {
+	return f.controllers[i].Decide(func(string, string) int { return 3 })
+}
+
+// chosen is a session that the hash moves to the new version.
+const chosen = uint64(1)
+
+func TestActiveSessionsKeepTheOldVersion(t *testing.T) {
+	f := newFleet(2)
+	must.True(t, f.controllers[0].Stage(service, chosen).Admits(oldOne))
+	f.exchange()
+	f.order(newOne, 20*time.Second)
+	for range 20 {
+		f.clock.advance(time.Second)
+		for _, c := range f.controllers {
+			must.True(t, c.Stage(service, chosen).Admits(oldOne))
+			must.False(t, c.Stage(service, chosen).Admits(newOne))
+		}
+		f.exchange()
+	}
+}
+
+func TestIdleSessionsMoveAndStay(t *testing.T) {
+	f := newFleet(2)
+	f.controllers[0].Stage(service, chosen)
+	f.exchange()
+	f.order(newOne, 30*time.Second)
+	f.clock.advance(9 * time.Second)
+	for range 10 {
+		f.clock.advance(time.Second)
+		for _, c := range f.controllers {
+			must.False(t, c.Stage(service, chosen).Admits(oldOne))
+			must.True(t, c.Stage(service, chosen).Admits(newOne))
+		}
+		f.exchange()
+	}
+	must.True(t, f.controllers[0].Stage(service, 9999).Admits(oldOne))
+}
+
+func TestShareOfSessions(t *testing.T) {
+	f := newFleet(1)
+	f.order(newOne, 20*time.Second)
+	moved := 0
+	for session := range uint64(10000) {
+		if f.controllers[0].Stage(service, session).Admits(newOne) {
+			moved++
+		}
+	}
+	must.Eq(t, 1000, moved)
+}
+
+func TestGoodVersionSucceedsInTime(t *testing.T) {
+	f := newFleet(3)
+	f.order(newOne, 20*time.Second)
+	must.Eq(t, staging.Running, f.decide(0)[0].Status.State)
+	f.controllers[0].SetStatus(staging.Status{Service: service, Target: newOne, State: staging.Running})
+	f.observe(oldOne, 300, false)
+	f.observe(newOne, 30, false)
+	f.exchange()
+	must.Len(t, 0, f.decide(0))
+	f.clock.advance(16 * time.Second)
+	must.Eq(t, staging.Succeeded, f.decide(0)[0].Status.State)
+}
+
+// TestBadVersionIsRolledBack: the counts of any one instance would not do.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	f := newFleet(3)
+	f.order(newOne, 20*time.Second)
+	f.observe(oldOne, 300, false)
+	f.observe(newOne, 12, false)
+	f.observe(newOne, 12, true)
+	f.exchange()
+	decisions := f.decide(1)
+	must.Eq(t, staging.RolledBack, decisions[0].Status.State)
+	must.Eq(t, "errors", decisions[0].Reason)
+	// The instance that has found it sends nothing more there, agreed or not.
+	must.False(t, f.controllers[1].Stage(service, chosen).Admits(newOne))
+}
+
+func TestWhatWasAgreedStays(t *testing.T) {
+	f := newFleet(1)
+	c := f.controllers[0]
+	f.order(newOne, 20*time.Second)
+	c.SetStatus(staging.Status{Service: service, Target: newOne, State: staging.RolledBack})
+	c.SetStatus(staging.Status{Service: service, Target: newOne, State: staging.Succeeded})
+	f.clock.advance(time.Minute)
+	must.Len(t, 0, f.decide(0))
+	must.False(t, c.Stage(service, chosen).Admits(newOne))
+	must.False(t, c.Stage(service, chosen).Widened().Admits(newOne))
+	c.RemoveOrder(service)
+	must.False(t, c.Stage(service, chosen).Admits(newOne))
+	// Another order does not bring the version back either.
+	f.order("v3", 20*time.Second)
+	must.False(t, c.Stage(service, 9999).Admits(newOne))
+	must.Eq(t, staging.Running, f.decide(0)[0].Status.State)
+}
+
+func TestSucceededVersionTakesAll(t *testing.T) {
+	f := newFleet(1)
+	f.order(newOne, 20*time.Second)
+	f.controllers[0].SetStatus(staging.Status{Service: service, Target: newOne, State: staging.Succeeded})
+	must.False(t, f.controllers[0].Stage(service, 9999).Admits(oldOne))
+	must.True(t, f.controllers[0].Stage(service, 9999).Widened().Admits(oldOne))
+}
