--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/staging"
 )
@@ -55,45 +56,62 @@
 type peer struct {
 	instance Instance
 	heardAt  time.Time
+	// echo is the Sent of the latest datagram of the peer.
+	echo boottime.Instant
+}
+
+// Options are what a Table works with.
+type Options struct {
+	// Name is that of this instance.
+	Name string
+	// Self returns what this instance says of itself.
+	Self func() Instance
+	// Proof returns a proof of this instance's own making; nil if it has none
+	// for the peers.
+	Proof func() *Proof
+	// Hear takes what a peer says beside.
+	Hear func(heard *Instance)
+	// Prove takes a proof of a peer: the configuration up to the offset was
+	// the newest at a moment that is not before at.
+	Prove func(end int64, at boottime.Instant)
+	// Now is the clock by which peers fall silent.
+	Now func() time.Time
 }
 
 // Table knows the other instances. It is safe for concurrent use.
 type Table struct {
-	name string
-	self  func() Instance
-	merge func(heard *Instance)
-	now   func() time.Time
+	opts  Options
 	mu    sync.Mutex
 	peers map[string]*peer // by name
 }
 
-// New returns a table of the named instance. self returns what this instance says of itself; merge
-// takes what a peer says beside.
-func New(name string, self func() Instance, merge func(heard *Instance), now func() time.Time) *Table {
-	return &Table{name: name, self: self, merge: merge, now: now, peers: map[string]*peer{}}
-}
+// New returns an empty table.
+func New(opts Options) *Table { return &Table{opts: opts, peers: map[string]*peer{}} }
 
 // Add makes an instance known of which only a record was read. It counts as
 // running only once it is heard.
 func (t *Table) Add(instance Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, known := t.peers[instance.Name]; known || instance.Name == t.name {
+	if _, known := t.peers[instance.Name]; known || instance.Name == t.opts.Name {
 		return
 	}
 	t.peers[instance.Name] = &peer{instance: instance}
 }
 
 // hear takes over a datagram.
-func (t *Table) hear(instance Instance) {
-	if instance.Name == "" || instance.Name == t.name {
+func (t *Table) hear(d *datagram) {
+	if d.Name == "" || d.Name == t.opts.Name {
 		return
 	}
-	t.merge(&instance)
+	t.opts.Hear(&d.Instance)
+	if at, ok := d.provenAt(); ok {
+		t.opts.Prove(d.Proof.End, at)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	instance.Shares, instance.Sightings = nil, nil
-	t.peers[instance.Name] = &peer{instance: instance, heardAt: t.now()}
+	d.Shares, d.Sightings = nil, nil
+	t.peers[d.Name] = &peer{instance: d.Instance, heardAt: t.opts.Now(), echo: d.Echo.Sent}
 }
 
 // Known returns the number of instances that were ever heard of, with this
@@ -108,7 +126,7 @@
 // an order that depends on the key and on which all of them agree (rendezvous
 // hashing: Thaler and Ravishankar, 1998).
 func (t *Table) Rank(key string) int {
-	own := xxhash.Sum64String(key + "/" + t.name)
+	own := xxhash.Sum64String(key + "/" + t.opts.Name)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rank := 0
@@ -123,8 +141,8 @@
 // Running returns the instances that are running, with this one, in the order
 // of their names.
 func (t *Table) Running() []Instance {
-	self := t.self()
-	now := t.now()
+	self := t.opts.Self()
+	now := t.opts.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	running := []Instance{self}
@@ -137,15 +155,20 @@
 	return running
 }
 
-// addresses returns where datagrams are sent.
-func (t *Table) addresses() []string {
+// target is where a datagram goes, with what it echoes.
+type target struct {
+	address string
+	echo    boottime.Instant
+}
+
+func (t *Table) targets() []target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	addresses := make([]string, 0, len(t.peers))
+	targets := make([]target, 0, len(t.peers))
 	for _, p := range t.peers {
-		addresses = append(addresses, p.instance.PeerAddress)
+		targets = append(targets, target{address: p.instance.PeerAddress, echo: p.echo})
 	}
-	return addresses
+	return targets
 }
 
 // Run sends and receives datagrams on conn until ctx ends.
@@ -172,9 +195,9 @@
 			// An earlier datagram met a closed port; its peer shows as silent.
 			continue
 		}
-		var instance Instance
-		if json.Unmarshal(buffer[:n], &instance) == nil {
-			t.hear(instance)
+		var d datagram
+		if json.Unmarshal(buffer[:n], &d) == nil {
+			t.hear(&d)
 		}
 	}
 }
@@ -195,15 +218,17 @@
 // sendAll sends one datagram to every peer. A failed send shows at the peer as
 // a lost datagram.
 func (t *Table) sendAll(conn net.PacketConn) {
-	datagram, err := json.Marshal(t.self())
-	if err != nil || len(datagram) > maxDatagram {
-		return
-	}
-	for _, address := range t.addresses() {
-		target, err := net.ResolveUDPAddr("udp4", address)
+	d := datagram{Instance: t.opts.Self(), Proof: t.opts.Proof()}
+	for _, to := range t.targets() {
+		d.Echo = Echo{Sent: boottime.Now(), Echoed: to.echo}
+		content, err := json.Marshal(&d)
+		if err != nil || len(content) > maxDatagram {
+			return
+		}
+		address, err := net.ResolveUDPAddr("udp4", to.address)
 		if err != nil {
 			continue
 		}
-		_, _ = conn.WriteTo(datagram, target)
+		_, _ = conn.WriteTo(content, address)
 	}
 }
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/peers"
 )
 
@@ -20,6 +22,10 @@
 	table *peers.Table
 	conn  net.PacketConn
 	skew  time.Duration
+	proof *peers.Proof
+	// provenEnd and provenAt are the latest proof that was heard.
+	provenEnd int64
+	provenAt  boottime.Instant
 }
 
 func startNode(t *testing.T, name string) *node {
@@ -27,7 +33,11 @@
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	n := &node{conn: conn, self: peers.Instance{Name: name, Run: "1", Address: name, PeerAddress: conn.LocalAddr().String(), Ready: true}}
-	n.table = peers.New(name, n.own, func(*peers.Instance) {}, n.now)
+	n.table = peers.New(peers.Options{
+		Name: name, Self: n.own, Now: n.now, Prove: n.prove,
+		Hear:  func(*peers.Instance) {},
+		Proof: n.ownProof,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.table.Run(ctx, conn) }()
@@ -44,6 +54,18 @@
 	return n.self
 }
 
+func (n *node) ownProof() *peers.Proof {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.proof
+}
+
+func (n *node) prove(end int64, at boottime.Instant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.provenEnd, n.provenAt = end, at
+}
+
 func (n *node) now() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -93,3 +115,43 @@
 	must.Eq(t, 1, a.running())
 	must.Eq(t, 2, a.table.Known())
 }
+
+// TestProofCountsFromWhatIsEchoed: a proof that a peer sends is never taken for
+// younger than the receiver can know.
+func TestProofCountsFromWhatIsEchoed(t *testing.T) {
+	const age = time.Second
+	a, b := startNode(t, "a"), startNode(t, "b")
+	a.change(func() { a.proof = &peers.Proof{End: 7, Age: age} })
+	before := boottime.Now()
+	b.table.Add(a.own())
+	eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.provenEnd == 7
+	})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	// What is echoed was sent between the start and now.
+	must.GreaterEq(t, before-boottime.Instant(age), b.provenAt)
+	must.LessEq(t, boottime.Now()-boottime.Instant(age), b.provenAt)
+}
+
+// TestDatagramThatWaitedProvesNothingNew: a datagram that lay in the buffer of
+// a suspended machine must not renew its proof.
+func TestDatagramThatWaitedProvesNothingNew(t *testing.T) {
+	b := startNode(t, "b")
+	sender, err := net.Dial("udp4", b.own().PeerAddress)
+	must.NoError(t, err)
+	defer func() { must.NoError(t, sender.Close()) }()
+	echoed := boottime.Now() - boottime.Instant(time.Hour)
+	_, err = fmt.Fprintf(sender, `{"name":"a","peer_address":"127.0.0.1:9","echo":{"sent":1,"echoed":%d},"proof":{"end":3,"age":5}}`, echoed)
+	must.NoError(t, err)
+	eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.provenEnd == 3
+	})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	must.Eq(t, echoed-5, b.provenAt)
+}
