--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -47,6 +47,9 @@
 	Ready bool `json:"ready"`
 	// Leaving is true once it has begun a planned stop.
 	Leaving bool `json:"leaving"`
+	// Applied gives for each topic that it follows the offset up to which it
+	// has taken all records.
+	Applied map[string]int64 `json:"applied,omitempty"`
 	// Shares are its counts of the roll-outs that are open.
 	Shares []rollout.Share `json:"shares,omitempty"`
 	// Sightings are the sessions that it lately saw on an old version.
@@ -110,7 +113,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d.Shares, d.Sightings = nil, nil
+	d.Shares, d.Sightings, d.Applied = nil, nil, nil
 	t.peers[d.Name] = &peer{instance: d.Instance, heardAt: t.opts.Now(), echo: d.Echo.Sent}
 }
 
