--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -13,7 +13,7 @@
 	"medlarslip/internal/coordination/coldstart"
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/coordination/overload"
-	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/session"
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/document"
@@ -113,7 +113,7 @@
 	// servers; nil counts as 1.
 	EntryCount func() int
 
-	budgets     routing.RetryBudgets
+	budgets     retrybudget.Budgets
 	lateRatings atomic.Int64
 }
 
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"medlarslip/internal/coordination/coldstart"
+	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/state/backends"
@@ -116,13 +117,18 @@
 	}
 }
 
+// retryOptions bound the retries and hedged reads of one instance to a share of
+// its first attempts, so that servers which fall out are not followed by a
+// storm of retries.
+var retryOptions = retrybudget.Options{Window: 10 * time.Second, Ratio: 0.1, Slack: 20}
+
 // mayTry counts the nth attempt at a target, from 0, and reports whether the
 // retry budget allows it.
 func (r *Router) mayTry(target string, n int) bool {
 	budget := r.budgets.Of(target)
 	if n == 0 {
-		budget.First()
+		budget.First(r.Now(), &retryOptions)
 		return true
 	}
-	return budget.Take(r.Now())
+	return budget.Take(r.Now(), &retryOptions, 1, 1)
 }
--- a/internal/coordination/gateway/bounds_test.go
+++ b/internal/coordination/gateway/bounds_test.go
@@ -8,37 +8,6 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestBudgetHoldsInEveryWindow sends at random over many instances and counts
-// repeats in every sliding window, as the bound is stated.
-func TestBudgetHoldsInEveryWindow(t *testing.T) {
-	const instances, seeds = 8, 8
-	opts := &BudgetOptions{Window: 10 * time.Second, Ratio: 0.9, Slack: 56}
-	for seed := range uint64(seeds) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		budgets := make([]budget, instances)
-		var firsts, repeats []time.Time
-		now := time.Unix(1000, 0)
-		for range 3000 {
-			now = now.Add(time.Duration(random.IntN(int(40 * time.Millisecond))))
-			b := &budgets[random.IntN(instances)]
-			if random.IntN(3) == 0 {
-				b.first(now, opts)
-				firsts = append(firsts, now)
-			} else if b.take(now, opts, repeatShare, instances) {
-				repeats = append(repeats, now)
-			}
-		}
-		for i := range repeats {
-			end := repeats[i].Add(opts.Window)
-			within := count(repeats[i:], end)
-			// The bound takes the busiest of this window and the one before it.
-			first := max(countBetween(firsts, repeats[i], end), countBetween(firsts, repeats[i].Add(-opts.Window), repeats[i]),
-				countBetween(firsts, repeats[i].Add(-opts.Window/2), end.Add(-opts.Window/2)))
-			must.LessEq(t, opts.Ratio*float64(first)+opts.Slack, float64(within), must.Sprint(seed))
-		}
-	}
-}
-
 func count(times []time.Time, end time.Time) int {
 	n := 0
 	for _, at := range times {
@@ -49,16 +18,6 @@
 	return n
 }
 
-func countBetween(times []time.Time, from, to time.Time) int {
-	n := 0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(to) {
-			n++
-		}
-	}
-	return n
-}
-
 // TestColdSharesHoldTogether has more instances than any of them knows of send
 // as much as they may, and counts each second.
 func TestColdSharesHoldTogether(t *testing.T) {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
@@ -32,7 +33,7 @@
 	// MaxProofAge is the age of the proof of a configuration from which keys
 	// are no longer taken as valid; 0 means no bound.
 	MaxProofAge time.Duration
-	Budget      BudgetOptions
+	Budget      retrybudget.Options
 	Cold        ColdOptions
 }
 
@@ -73,7 +74,7 @@
 // Gateway serves clients. It is safe for concurrent use.
 type Gateway struct {
 	Options
-	budgets budgets
+	budgets retrybudget.Budgets
 	cold    *coldGate
 	usual   sync.Map // usualKey to *usualTime
 	closing closing
--- a/internal/coordination/gateway/observe.go
+++ b/internal/coordination/gateway/observe.go
@@ -53,6 +53,7 @@
 	}
 	found, _ := a.gateway.usual.LoadOrStore(a.req.usualKey(a.model), &usualTime{})
 	timed, slow := found.(*usualTime).compare(took)
+	a.slow = slow
 	a.gateway.Staging.Observe(staging.Observation{
 		Service: a.req.service,
 		Version: a.choice.snapshot.Server.Version,
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -147,7 +147,7 @@
 // says how it broke.
 func (s *relayedStream) pass(a *attempt) error {
 	events := newEventReader(a.exchange)
-	silence := time.AfterFunc(noLimit, a.cancel)
+	silence := time.AfterFunc(noLimit, a.giveUp)
 	defer silence.Stop()
 	wait := max(streamSilence*s.req.route.GapObjective, leastSilence)
 	for {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -6,8 +6,10 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
 	"medlarslip/internal/transport/httpconn"
@@ -25,7 +27,7 @@
 // run sends a request to servers until it is answered or given up.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *request) end {
 	e := &end{}
-	g.budgetOf(req).first(time.Now(), &g.boundsNow().Budget)
+	g.budgetOf(req).First(time.Now(), &g.boundsNow().Budget)
 	for {
 		a := g.attempt(ctx, req, "", req.call.LastEventID)
 		if a == nil {
@@ -52,7 +54,7 @@
 	return &bounds
 }
 
-func (g *Gateway) budgetOf(req *request) *budget { return g.budgets.of(req.service) }
+func (g *Gateway) budgetOf(req *request) *retrybudget.Budget { return g.budgets.Of(req.service) }
 
 // mayGoOn reports whether another server may be asked, and takes the repeat
 // from the budget.
@@ -60,7 +62,11 @@
 	if !mayRepeat(v, req.route.Repeatable()) || !req.attemptsLeft() {
 		return false
 	}
-	return g.budgetOf(req).take(time.Now(), &g.boundsNow().Budget, repeatShare, g.Instances())
+	if req.sent == 0 {
+		// Nothing has arrived anywhere yet.
+		return true
+	}
+	return g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, repeatShare, g.Instances())
 }
 
 func (r *request) attemptsLeft() bool {
@@ -73,7 +79,7 @@
 	if !req.plan.weak(a.reply.Confidence) || !req.attemptsLeft() || ctx.Err() != nil {
 		return false
 	}
-	if !g.budgetOf(req).take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
+	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
 		return false
 	}
 	a.close()
@@ -131,11 +137,20 @@
 	cancel   context.CancelFunc
 	settled  bool
 	ctx      context.Context
+	// slow is true where the header of the response took far longer than
+	// usual.
+	slow bool
+	// impatient is set where the server was given up for its silence.
+	impatient atomic.Bool
 }
 
 func (a *attempt) server() string { return a.choice.snapshot.Server.ID }
 
-var errServerSlow = errors.New("server has not begun to answer in time")
+// giveUp ends an attempt whose server is silent for too long.
+func (a *attempt) giveUp() {
+	a.impatient.Store(true)
+	a.cancel()
+}
 
 // attempt sends the request to a server and judges the header of its response.
 // It returns nil if no server may take it. A version pins the server's version
@@ -152,7 +167,7 @@
 	if req.route.Repeatable() {
 		reuse = httpconn.ReuseIdle
 	}
-	limit := time.AfterFunc(g.patience(req, a.began), a.cancel)
+	limit := time.AfterFunc(g.patience(req, a.began), a.giveUp)
 	var err error
 	a.exchange, err = g.Pool.Exchange(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID), reuse)
 	limit.Stop()
@@ -247,19 +262,19 @@
 }
 
 func (a *attempt) result() backends.CallResult {
-	switch a.verdict {
-	case deliver:
+	switch {
+	case a.verdict == deliver && a.slow:
+		return backends.CallSlow
+	case a.verdict == deliver:
 		return backends.CallGood
-	case notRun:
-		if a.exchange == nil {
-			return backends.CallFailed
-		}
+	case a.verdict == notRun && (a.exchange == nil || a.reply.Status == http.StatusMisdirectedRequest):
+		return backends.CallUnreachable
+	case a.verdict == notRun:
 		return backends.CallBusy
-	default:
-		if a.ctx.Err() != nil {
-			return backends.CallNeutral
-		}
+	case a.impatient.Load() || a.ctx.Err() == nil:
 		return backends.CallFailed
+	default:
+		return backends.CallNeutral
 	}
 }
 
--- a/internal/coordination/routing/breaker.go
+++ b/internal/coordination/routing/breaker.go
@@ -9,7 +9,7 @@
 const (
 	// breakerFailures is the number of failures in a row that opens the
 	// circuit breaker (Nygard, Release It!, 2007).
-	breakerFailures = 5
+	breakerFailures = backends.UnreachableFailures
 	// breakerFirstWait is the time from opening to the first probe.
 	breakerFirstWait = time.Second
 	// breakerLongestWait bounds the time between two probes.
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -145,20 +145,6 @@
 	}
 }
 
-func TestRetryBudgetBoundsAStorm(t *testing.T) {
-	budget := routing.NewRetryBudget()
-	retries := 0
-	for range 1000 {
-		budget.First()
-		for range 2 {
-			if budget.Take(start) {
-				retries++
-			}
-		}
-	}
-	must.Between(t, 100, retries, 125)
-}
-
 // herd runs instances that all see the same lagging report and returns the
 // highest number of requests that one server had at once. Each request takes
 // one report interval.
--- a/internal/coordination/routing/score.go
+++ b/internal/coordination/routing/score.go
@@ -21,6 +21,9 @@
 	// prefix cache, as a multiple of the mean (Mirrokni, Thorup and
 	// Zadimoghaddam, Consistent Hashing with Bounded Loads, 2018).
 	affinityLoadFactor = 1.25
+	// badPenalty is the score of a server all of whose recent calls were bad, in
+	// requests in progress: more than the load of a busy server.
+	badPenalty = 40.0
 	// latePenalty is the score of a server that is expected to answer after
 	// the deadline, in requests in progress.
 	latePenalty = 100.0
@@ -49,6 +52,7 @@
 		load := candidate.Score
 		candidate.Score += scoreDomain(req, &candidate.Server)
 		candidate.Score += scoreDeadline(req, &candidate.Server)
+		candidate.Score += badPenalty * candidate.Server.BadShare * candidate.Server.BadShare
 		candidate.Score -= scoreAffinity(candidate, load, bound)
 	}
 }
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -69,6 +69,7 @@
 	failures int
 	latency  time.Duration
 	failedAt time.Time
+	recent   recentCalls
 	// inFlightAtLoad is inFlight when load was read.
 	inFlightAtLoad int
 	// hash of the ID never changes and is read without the lock.
@@ -89,15 +90,20 @@
 	Latency time.Duration
 	// FailedAt is when the latest failure was noted.
 	FailedAt time.Time
+	// BadShare is the share of recent calls, 0 to 1, that failed or took far
+	// longer than usual, moderated while there are few.
+	BadShare float64
 	// InFlightAtLoad is InFlight at the moment Load was read.
 	InFlightAtLoad int
 }
 
 // Snapshot returns a copy of the current state.
 func (b *Backend) Snapshot() Snapshot {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return Snapshot{
+		BadShare: b.recent.badShare(now),
 		Server:   b.server,
 		Load:     b.load,
 		Warmth:   b.warmth,
@@ -167,7 +173,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.server.Incarnation != server.Incarnation {
-		b.answered, b.failures, b.latency, b.load = 0, 0, 0, Load{}
+		b.answered, b.failures, b.latency, b.load, b.recent = 0, 0, 0, Load{}, recentCalls{}
 	}
 	b.server = server
 }
--- a/internal/state/backends/settle.go
+++ b/internal/state/backends/settle.go
@@ -15,21 +15,38 @@
 	CallBusy
 	// CallFailed means that the server failed the call.
 	CallFailed
+	// CallSlow means that the answer was good and took far longer than usual.
+	CallSlow
+	// CallUnreachable means that no connection came about, or that another
+	// server has the address.
+	CallUnreachable
 )
 
+// UnreachableFailures is the number of failures in a row that a server counts
+// which can't be reached: nothing is gained by trying it again at once.
+const UnreachableFailures = 5
+
 // Settle counts one call less in flight and notes how it ended.
 func (b *Backend) Settle(now time.Time, took time.Duration, result CallResult) {
-	if result == CallGood || result == CallFailed {
-		b.End(took, result == CallGood)
+	good := result == CallGood || result == CallSlow
+	bad := result == CallFailed || result == CallUnreachable
+	if good || bad {
+		b.End(took, good)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if good || bad {
+		b.recent.add(now, result != CallGood)
+	}
 	switch result {
 	case CallNeutral, CallBusy:
 		b.inFlight--
+	case CallUnreachable:
+		b.failures = max(b.failures, UnreachableFailures)
+		b.failedAt = now
 	case CallFailed:
 		b.failedAt = now
-	case CallGood:
+	case CallGood, CallSlow:
 		b.failedAt = time.Time{}
 	}
 }
