Refuse what comes too late in a planned stop

Clients keep an address for three times its life, so some still come. Ruled out: a longer stop, which the platform ends; a shorter life of addresses moves clients no sooner than their next question.

--- a/internal/coordination/gateway/closing.go
+++ b/internal/coordination/gateway/closing.go
@@ -1,33 +1,17 @@
 package gateway
 
-import (
-	"sync"
-	"sync/atomic"
-	"time"
-)
+import "sync/atomic"
 
-// closing tracks requests in progress through a planned stop.
+// closing tells how far a planned stop has come.
 type closing struct {
 	begun    atomic.Bool
-	inFlight sync.WaitGroup
+	refusing atomic.Bool
 }
 
 // BeginClosing makes every further answer ask its client to open a new
 // connection for the next request.
 func (g *Gateway) BeginClosing() { g.closing.begun.Store(true) }
 
-// WaitIdle waits until no request is in progress, for a bounded time. It
-// reports whether none is.
-func (g *Gateway) WaitIdle(limit time.Duration) bool {
-	idle := make(chan struct{})
-	go func() {
-		g.closing.inFlight.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
+// RefuseNew refuses every further request, so that none is begun that the end
+// of the process would cut.
+func (g *Gateway) RefuseNew() { g.closing.refusing.Store(true) }
--- a/internal/coordination/gateway/refuse.go
+++ b/internal/coordination/gateway/refuse.go
@@ -27,6 +27,7 @@
 
 var (
 	refuseNoConfiguration = refusal{http.StatusServiceUnavailable, "no_configuration", "not run: no configuration is known yet; come back soon", retrySoon}
+	refuseLeaving         = refusal{http.StatusServiceUnavailable, "leaving", "not run: this instance stops; use another address", retrySoon}
 	refuseStale           = refusal{http.StatusServiceUnavailable, "configuration_stale", "not run: it is not certain that the key is still valid; come back soon or use another address", retryLater}
 	refuseNoRoute         = refusal{http.StatusNotFound, "no_route", "no route leads here; check host and path", 0}
 	refuseKey             = refusal{http.StatusUnauthorized, "unknown_key", "the API key is missing or unknown; send a valid one", 0}
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -43,8 +43,6 @@
 
 // ServeHTTP answers one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.closing.inFlight.Add(1)
-	defer g.closing.inFlight.Done()
 	started := time.Now()
 	if g.closing.begun.Load() {
 		w.Header().Set("Connection", "close")
@@ -83,6 +81,9 @@
 		return nil, &refusal{status: http.StatusBadRequest, cause: "bad_header", remedy: err.Error()}
 	}
 	req := &request{call: call, http: r, started: started}
+	if g.closing.refusing.Load() {
+		return req, &refuseLeaving
+	}
 	configuration := g.Current()
 	req.index = configuration.Index
 	if req.index == nil {
