--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -11,6 +11,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,7 @@
 	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/pause"
 )
 
 const (
@@ -27,6 +29,16 @@
 	// silence is the time after which a peer is taken to be gone: five lost
 	// datagrams in a row.
 	silence = 2 * time.Second
+	// smallFleet is the number of peers up to which all pairs are equal. In a
+	// larger fleet only pairs with one of the leaders keep the interval; the
+	// others exchange every sparse intervals, and count as silent accordingly.
+	smallFleet    = 20
+	sparse        = 3
+	sparseSilence = 4 * time.Second
+	// Leaders is the number of instances on which the others rely.
+	Leaders = 2
+	// kickPause is the least time between two rounds of datagrams.
+	kickPause = 50 * time.Millisecond
 	// maxDatagram bounds a datagram in bytes, well above what a fleet with a
 	// few roll-outs sends.
 	maxDatagram = 8 << 10
@@ -43,6 +55,8 @@
 	Address string `json:"address"`
 	// PeerAddress is where it takes datagrams.
 	PeerAddress string `json:"peer_address"`
+	// Weight orders the instances that lead: the highest goes first.
+	Weight int `json:"weight"`
 	// Ready is true while it should get new clients.
 	Ready bool `json:"ready"`
 	// Leaving is true once it has begun a planned stop.
@@ -86,10 +100,36 @@
 	opts  Options
 	mu    sync.Mutex
 	peers map[string]*peer // by name
+	// order holds the names of the instances that run and are ready, those that
+	// lead first. It is renewed with every round of datagrams.
+	order atomic.Pointer[[]string]
+	kick  chan struct{}
 }
 
 // New returns an empty table.
-func New(opts Options) *Table { return &Table{opts: opts, peers: map[string]*peer{}} }
+func New(opts Options) *Table {
+	t := &Table{opts: opts, peers: map[string]*peer{}, kick: make(chan struct{}, 1)}
+	t.order.Store(&[]string{})
+	return t
+}
+
+// Kick sends a round of datagrams soon, because there is news.
+func (t *Table) Kick() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Place returns the place of this instance in the order in which instances
+// lead; while it is not ready, the place after the last.
+func (t *Table) Place() int {
+	order := *t.order.Load()
+	if place := slices.Index(order, t.opts.Name); place >= 0 {
+		return place
+	}
+	return len(order)
+}
 
 // Add makes an instance known of which only a record was read. It counts as
 // running only once it is heard.
@@ -148,9 +188,13 @@
 	now := t.opts.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	limit := silence
+	if len(t.peers) > smallFleet {
+		limit = sparseSilence
+	}
 	running := []Instance{self}
 	for _, p := range t.peers {
-		if !p.heardAt.IsZero() && now.Sub(p.heardAt) < silence {
+		if !p.heardAt.IsZero() && now.Sub(p.heardAt) < limit {
 			running = append(running, p.instance)
 		}
 	}
@@ -164,16 +208,36 @@
 	echo    boottime.Instant
 }
 
-func (t *Table) targets() []target {
+// targets returns the peers that get a datagram in the given round.
+func (t *Table) targets(round int) []target {
+	order := *t.order.Load()
+	leaders := order[:min(len(order), Leaders)]
+	all := slices.Contains(leaders, t.opts.Name) || round%sparse == 0
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	all = all || len(t.peers) <= smallFleet
 	targets := make([]target, 0, len(t.peers))
-	for _, p := range t.peers {
-		targets = append(targets, target{address: p.instance.PeerAddress, echo: p.echo})
+	for name, p := range t.peers {
+		if all || slices.Contains(leaders, name) {
+			targets = append(targets, target{address: p.instance.PeerAddress, echo: p.echo})
+		}
 	}
 	return targets
 }
 
+// renewOrder orders the instances that run and are ready.
+func (t *Table) renewOrder() {
+	running := t.Running()
+	slices.SortStableFunc(running, func(a, b Instance) int { return cmp.Compare(b.Weight, a.Weight) })
+	order := make([]string, 0, len(running))
+	for i := range running {
+		if running[i].Ready {
+			order = append(order, running[i].Name)
+		}
+	}
+	t.order.Store(&order)
+}
+
 // Run sends and receives datagrams on conn until ctx ends.
 func (t *Table) Run(ctx context.Context, conn net.PacketConn) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -208,21 +272,24 @@
 func (t *Table) send(ctx context.Context, conn net.PacketConn) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for {
-		t.sendAll(conn)
+	for round := 0; ; round++ {
+		t.renewOrder()
+		t.sendRound(conn, round)
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-t.kick:
+			pause.For(ctx, kickPause)
 		case <-ticker.C:
 		}
 	}
 }
 
-// sendAll sends one datagram to every peer. A failed send shows at the peer as
-// a lost datagram.
-func (t *Table) sendAll(conn net.PacketConn) {
+// sendRound sends one datagram to each peer of a round. A failed send shows at
+// the peer as a lost datagram.
+func (t *Table) sendRound(conn net.PacketConn, round int) {
 	d := datagram{Instance: t.opts.Self(), Proof: t.opts.Proof()}
-	for _, to := range t.targets() {
+	for _, to := range t.targets(round) {
 		d.Echo = Echo{Sent: boottime.Now(), Echoed: to.echo}
 		content, err := json.Marshal(&d)
 		if err != nil || len(content) > maxDatagram {
