Pass the lead on when the store is lost, and use no version before its order

Ruled out: lost datagrams (sightings passed on by the leaders alone did not mend it); the hash, which all instances share.

--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -91,6 +91,7 @@
 func (e *end) note(a *attempt) {
 	e.verdicts = append(e.verdicts, a.verdict.String())
 	e.server, e.model, e.status = a.server(), a.model, a.reply.Status
+	e.version = a.choice.snapshot.Server.Version
 }
 
 // finish answers a request whose last attempt brought no answer to deliver.
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -34,19 +34,34 @@
 // nil. Only versions within the stage of a roll-out are considered; where none
 // of them is left, any version that is not barred.
 func (g *Gateway) choose(req *request, version string) *selection {
-	stage := g.Staging.Stage(req.service, req.session)
+	stage := g.stage(req)
 	if version != "" {
 		stage = staging.Stage{Only: version}
 	}
 	if found := g.chooseIn(req, stage, false); found != nil {
 		return found
 	}
+	if stage.Trial {
+		g.Staging.Stay(req.service, req.session)
+		stage = stage.Widened()
+	}
 	if found := g.chooseIn(req, stage, true); found != nil || version != "" {
 		return found
 	}
 	return g.chooseIn(req, stage.Widened(), true)
 }
 
+// stage returns the versions for a request. All its runs keep to the same one,
+// unless a roll-out has ended meanwhile.
+func (g *Gateway) stage(req *request) staging.Stage {
+	stage := g.Staging.Stage(req.service, req.session)
+	if req.staged != nil && !stage.Final {
+		return *req.staged
+	}
+	req.staged = &stage
+	return stage
+}
+
 // maxPicks bounds how often a choice is repeated because the server's bound
 // was reached meanwhile.
 const maxPicks = 3
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
 )
 
@@ -29,6 +30,8 @@
 	plan    *cascadePlan
 	// session is a hash by which requests of one session agree.
 	session uint64
+	// staged is the stage that the first run was given; nil before it.
+	staged *staging.Stage
 	// prefix is a hash of the shared part of the prompt; 0 if there is none.
 	prefix uint64
 	// tried lists the servers that the request was sent to.
@@ -253,6 +256,8 @@
 	status int
 	server string
 	model  string
+	// version is that of the server.
+	version string
 	// verdicts lists the ends of the attempts.
 	verdicts []string
 	resumed  int
@@ -285,7 +290,10 @@
 		fields["status"] = e.status
 	}
 	if e.model != "" {
-		fields["model"] = e.model
+		fields["model"], fields["version"] = e.model, e.version
+	}
+	if req.call.Session != "" {
+		fields["session"] = req.call.Session
 	}
 	if e.resumed > 0 {
 		fields["resumed"] = e.resumed
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -40,8 +40,8 @@
 	// kickPause is the least time between two rounds of datagrams.
 	kickPause = 50 * time.Millisecond
 	// maxDatagram bounds a datagram in bytes, well above what a fleet with a
-	// few roll-outs sends.
-	maxDatagram = 8 << 10
+	// few roll-outs sends, and below what UDP carries.
+	maxDatagram = 32 << 10
 )
 
 // Instance is what an instance says of itself.
@@ -59,6 +59,8 @@
 	Weight int `json:"weight"`
 	// Ready is true while it should get new clients.
 	Ready bool `json:"ready"`
+	// StoreLost is true while the store does not answer it.
+	StoreLost bool `json:"store_lost,omitempty"`
 	// Leaving is true once it has begun a planned stop.
 	Leaving bool `json:"leaving"`
 	// Applied gives for each topic that it follows the offset up to which it
@@ -68,6 +70,8 @@
 	Shares []rollout.Share `json:"shares,omitempty"`
 	// Sightings are the sessions that it lately saw on an old version.
 	Sightings []staging.Sighting `json:"sightings,omitempty"`
+	// PassedOn are those that an instance which leads has heard of others.
+	PassedOn []staging.Sighting `json:"passed_on,omitempty"`
 }
 
 type peer struct {
@@ -151,10 +155,19 @@
 	if at, ok := d.provenAt(); ok {
 		t.opts.Prove(d.Proof.End, at)
 	}
+	if t.store(d) {
+		t.renewOrder()
+	}
+}
+
+// store keeps what a datagram says, and reports whether it changes who leads.
+func (t *Table) store(d *datagram) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d.Shares, d.Sightings, d.Applied = nil, nil, nil
+	d.Shares, d.Sightings, d.PassedOn, d.Applied = nil, nil, nil, nil
+	old := t.peers[d.Name]
 	t.peers[d.Name] = &peer{instance: d.Instance, heardAt: t.opts.Now(), echo: d.Echo.Sent}
+	return old == nil || old.instance.StoreLost != d.StoreLost || old.instance.Ready != d.Ready
 }
 
 // Known returns the number of instances that were ever heard of, with this
@@ -225,13 +238,34 @@
 	return targets
 }
 
-// renewOrder orders the instances that run and are ready.
+// LeaderSilence returns the time since one of the instances that lead was last
+// heard; 0 for an instance that leads itself.
+func (t *Table) LeaderSilence() time.Duration {
+	order := *t.order.Load()
+	leaders := order[:min(len(order), Leaders)]
+	if slices.Contains(leaders, t.opts.Name) {
+		return 0
+	}
+	now := t.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	silence := sparseSilence
+	for _, name := range leaders {
+		if p := t.peers[name]; p != nil && !p.heardAt.IsZero() {
+			silence = min(silence, now.Sub(p.heardAt))
+		}
+	}
+	return silence
+}
+
+// renewOrder orders the instances that run, are ready, and reach the store as
+// far as they know.
 func (t *Table) renewOrder() {
 	running := t.Running()
 	slices.SortStableFunc(running, func(a, b Instance) int { return cmp.Compare(b.Weight, a.Weight) })
 	order := make([]string, 0, len(running))
 	for i := range running {
-		if running[i].Ready {
+		if running[i].Ready && !running[i].StoreLost {
 			order = append(order, running[i].Name)
 		}
 	}
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -155,3 +155,40 @@
 	defer b.mu.Unlock()
 	must.Eq(t, echoed-5, b.provenAt)
 }
+
+// TestLeadersChangeWhenTheStoreIsLost: an instance that the store does not
+// answer does not lead, and its peers know at its next datagram.
+func TestLeadersChangeWhenTheStoreIsLost(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	nodes := map[string]*node{}
+	for _, name := range names {
+		nodes[name] = startNode(t, name)
+	}
+	for _, name := range names[1:] {
+		nodes[name].table.Add(nodes["a"].own())
+	}
+	nodes["b"].table.Add(nodes["c"].own())
+	eventually(t, func() bool { return nodes["c"].table.Place() == 2 && nodes["a"].table.Place() == 0 })
+	must.Zero(t, nodes["a"].table.LeaderSilence())
+	nodes["a"].change(func() { nodes["a"].self.StoreLost = true })
+	nodes["a"].table.Kick()
+	eventually(t, func() bool { return nodes["c"].table.Place() < peers.Leaders })
+	nodes["c"].change(func() { nodes["c"].self.Weight = 9 })
+	eventually(t, func() bool { return nodes["b"].table.Place() == 1 })
+}
+
+// TestSilenceOfTheLeadersShows: it is what makes the others read for themselves.
+func TestSilenceOfTheLeadersShows(t *testing.T) {
+	nodes := map[string]*node{}
+	for _, name := range []string{"a", "b", "c"} {
+		nodes[name] = startNode(t, name)
+	}
+	c := nodes["c"]
+	c.table.Add(nodes["a"].own())
+	c.table.Add(nodes["b"].own())
+	eventually(t, func() bool { return c.table.Place() == 2 && c.table.LeaderSilence() < time.Second })
+	nodes["a"].change(func() { nodes["a"].self.Name = "" })
+	nodes["b"].change(func() { nodes["b"].self.Name = "" })
+	c.change(func() { c.skew += 1500 * time.Millisecond })
+	eventually(t, func() bool { return c.table.LeaderSilence() > time.Second || c.table.Place() < peers.Leaders })
+}
--- a/internal/coordination/staging/sessions.go
+++ b/internal/coordination/staging/sessions.go
@@ -11,7 +11,7 @@
 	// outlast two lost datagrams.
 	sightingLife = 1300 * time.Millisecond
 	// maxSightings bounds the sightings that are sent at once.
-	maxSightings = 64
+	maxSightings = 100
 )
 
 // Sighting says that a session has used the version that a roll-out replaces,
@@ -25,13 +25,13 @@
 // sightings holds when sessions were last seen on the old version.
 type sightings struct {
 	seen map[Sighting]time.Time
-	// own holds the sightings of this instance, for its peers.
-	own []ownSighting
+	// own and heard hold the latest sightings of this instance and of its peers.
+	own, heard []timedSighting
 	// sweptAt is when old entries were last removed.
 	sweptAt time.Time
 }
 
-type ownSighting struct {
+type timedSighting struct {
 	sighting Sighting
 	at       time.Time
 }
@@ -65,35 +65,63 @@
 	}
 }
 
-// recent returns the own sightings that the peers may not have heard yet.
-func (s *sightings) recent(now time.Time) []Sighting {
-	for len(s.own) > 0 && (now.Sub(s.own[0].at) >= sightingLife || len(s.own) > maxSightings) {
-		s.own = s.own[1:]
+// recent drops the sightings that all have heard by now and returns the others.
+func recent(timed *[]timedSighting, now time.Time) []Sighting {
+	for len(*timed) > 0 && (now.Sub((*timed)[0].at) >= sightingLife || len(*timed) > maxSightings) {
+		*timed = (*timed)[1:]
 	}
-	recent := make([]Sighting, len(s.own))
-	for i := range s.own {
-		recent[i] = s.own[i].sighting
+	sightings := make([]Sighting, len(*timed))
+	for i := range *timed {
+		sightings[i] = (*timed)[i].sighting
 	}
-	return recent
+	return sightings
 }
 
-// Sightings returns the sightings for the peers.
+// Sightings returns the sightings of this instance for its peers.
 func (c *Controller) Sightings() []Sighting {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sessions.recent(c.now())
+	return recent(&c.sessions.own, c.now())
 }
 
-// Hear takes over the sightings of a peer.
-func (c *Controller) Hear(heard []Sighting) {
+// Heard returns the sightings that peers have told, for those that do not hear
+// them often.
+func (c *Controller) Heard() []Sighting {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return recent(&c.sessions.heard, c.now())
+}
+
+// Hear takes over the sightings of a peer, and those that it passes on. Only the
+// peer's own are passed on from here, so that none goes in circles.
+func (c *Controller) Hear(own, passedOn []Sighting) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for _, sighting := range heard {
+	for _, sighting := range own {
+		if !c.sessions.active(sighting, now.Add(sessionLife-sightingLife)) {
+			c.sessions.heard = append(c.sessions.heard, timedSighting{sighting: sighting, at: now})
+		}
+		c.sessions.note(sighting, now)
+	}
+	for _, sighting := range passedOn {
 		c.sessions.note(sighting, now)
 	}
 }
 
+// Stay notes that a request of a session that would move has been given to the
+// old version, because no server of the new one may take it.
+func (c *Controller) Stay(service string, session uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sight(Sighting{Service: service, Session: session}, c.now())
+}
+
+func (c *Controller) sight(sighting Sighting, now time.Time) {
+	c.sessions.note(sighting, now)
+	c.sessions.own = append(c.sessions.own, timedSighting{sighting: sighting, at: now})
+}
+
 // stay reports whether a session that the hash would move stays on the old
 // version, and notes its use of it. Without an order every session stays.
 func (c *Controller) stay(service string, session uint64, ordered bool) bool {
@@ -102,7 +130,6 @@
 	if ordered && !c.sessions.active(sighting, now) {
 		return false
 	}
-	c.sessions.note(sighting, now)
-	c.sessions.own = append(c.sessions.own, ownSighting{sighting: sighting, at: now})
+	c.sight(sighting, now)
 	return true
 }
--- a/internal/coordination/staging/staging.go
+++ b/internal/coordination/staging/staging.go
@@ -58,6 +58,8 @@
 	counts   map[rollout.Arm]rollout.Counts
 	peers    map[string]map[rollout.Arm]rollout.Counts // by instance
 	sessions sightings
+	// versions holds when each version of a service was first seen.
+	versions map[string]map[string]time.Time
 }
 
 type staged struct {
@@ -80,6 +82,7 @@
 		counts:   map[rollout.Arm]rollout.Counts{},
 		peers:    map[string]map[rollout.Arm]rollout.Counts{},
 		sessions: newSightings(),
+		versions: map[string]map[string]time.Time{},
 	}
 }
 
@@ -119,6 +122,41 @@
 	return status, ok
 }
 
+// orderLag is how long servers of a new version may be seen before the order
+// that brings them: the two are read from different topics. Above it they are
+// taken for an ordinary replacement.
+const orderLag = 4 * time.Second
+
+// Seen takes notice of the versions of a service that have servers.
+func (c *Controller) Seen(service string, versions []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, old := c.versions[service]
+	if !old {
+		known = map[string]time.Time{}
+		c.versions[service] = known
+	}
+	for _, version := range versions {
+		if _, ok := known[version]; ok {
+			continue
+		}
+		known[version] = time.Time{}
+		if old {
+			known[version] = c.now()
+		}
+	}
+}
+
+// unordered returns a version that is so new that its order may still come.
+func (c *Controller) unordered(service string) string {
+	for version, at := range c.versions[service] {
+		if c.now().Sub(at) < orderLag {
+			return version
+		}
+	}
+	return ""
+}
+
 // Stage says which versions of a service a request may go to.
 type Stage struct {
 	// Only names the version that is meant; empty means any but Not.
@@ -127,6 +165,10 @@
 	Not string
 	// Barred names a version that must not be used; empty for none.
 	Barred string
+	// Trial is true where a version is on trial, so that another is as good.
+	Trial bool
+	// Final is true once a roll-out has ended.
+	Final bool
 }
 
 // Admits reports whether the version is within the stage.
@@ -144,7 +186,7 @@
 // Widened returns the stage for the case that no server within it is left. A
 // new version that is not yet agreed does not take over what the old served.
 func (s Stage) Widened() Stage {
-	if s.Only != "" {
+	if s.Only != "" || s.Trial {
 		return Stage{Barred: s.Barred}
 	}
 	return s
@@ -168,19 +210,20 @@
 	stays := !chosen || c.stay(service, session, ordered)
 	switch {
 	case !ordered:
-		return Stage{Barred: barred}
+		unordered := c.unordered(service)
+		return Stage{Not: unordered, Barred: barred, Trial: unordered != ""}
 	case stays || order.worse != "":
 		return Stage{Not: order.order.Target, Barred: barred}
 	default:
-		return Stage{Only: order.order.Target, Barred: barred}
+		return Stage{Only: order.order.Target, Barred: barred, Trial: true}
 	}
 }
 
 func endedStage(status Status) Stage {
 	if status.State == RolledBack {
-		return Stage{Barred: status.Target}
+		return Stage{Barred: status.Target, Final: true}
 	}
-	return Stage{Only: status.Target}
+	return Stage{Only: status.Target, Final: true}
 }
 
 // Observation is what one ended attempt says of a version.
--- a/internal/coordination/staging/staging_test.go
+++ b/internal/coordination/staging/staging_test.go
@@ -47,7 +47,7 @@
 	for i, from := range f.controllers {
 		for j, to := range f.controllers {
 			if i != j {
-				to.Hear(from.Sightings())
+				to.Hear(from.Sightings(), nil)
 				to.Merge(string(rune('a'+i)), from.Export())
 			}
 		}
@@ -82,6 +82,51 @@
 	}
 }
 
+// TestSessionGivenToTheOldVersionKeepsIt: where no server of the new version may
+// take a request, as while all of them are cold, its session stays.
+func TestSessionGivenToTheOldVersionKeepsIt(t *testing.T) {
+	f := newFleet(2)
+	f.order(newOne, 20*time.Second)
+	must.True(t, f.controllers[0].Stage(service, chosen).Trial)
+	f.controllers[0].Stay(service, chosen)
+	f.exchange()
+	for _, c := range f.controllers {
+		must.True(t, c.Stage(service, chosen).Admits(oldOne))
+		must.False(t, c.Stage(service, chosen).Admits(newOne))
+	}
+}
+
+// TestServersMayComeBeforeTheirOrder: the order is read from another topic than
+// the servers that it brings.
+func TestServersMayComeBeforeTheirOrder(t *testing.T) {
+	f := newFleet(1)
+	c := f.controllers[0]
+	c.Seen(service, []string{oldOne})
+	must.True(t, c.Stage(service, 9999).Admits(oldOne))
+	c.Seen(service, []string{oldOne, newOne})
+	must.False(t, c.Stage(service, 9999).Admits(newOne))
+	must.False(t, c.Stage(service, chosen).Admits(newOne))
+	must.True(t, c.Stage(service, 9999).Widened().Admits(newOne))
+	f.clock.advance(5 * time.Second)
+	must.True(t, c.Stage(service, 9999).Admits(newOne))
+}
+
+// TestSightingsArePassedOnOnce: an instance that hears a peer seldom learns from
+// one that hears it often, and nothing goes in circles.
+func TestSightingsArePassedOnOnce(t *testing.T) {
+	f := newFleet(3)
+	a, b, c := f.controllers[0], f.controllers[1], f.controllers[2]
+	a.Stage(service, chosen)
+	b.Hear(a.Sightings(), a.Heard())
+	c.Hear(b.Sightings(), b.Heard())
+	must.Len(t, 1, b.Heard())
+	must.Len(t, 0, c.Heard())
+	f.order(newOne, 20*time.Second)
+	must.True(t, c.Stage(service, chosen).Admits(oldOne))
+	f.clock.advance(2 * time.Second)
+	must.Len(t, 0, b.Heard())
+}
+
 func TestIdleSessionsMoveAndStay(t *testing.T) {
 	f := newFleet(2)
 	f.controllers[0].Stage(service, chosen)
