Keep recovery in the product, and transport out of coordination

The adapter held the follower of the store's topics, the relay between instances, the entries that lapse, and the loop that decides roll-outs. They are packages keyedlog, logrelay, discovery and staging now; the adapter decodes names and implements keyedlog.Store. The gateway reaches servers through an interface that package upstream implements.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
-	"medlarslip/internal/transport/httpconn"
 )
 
 // Configuration is the routing configuration in force.
@@ -57,7 +56,7 @@
 	Rank func(key string) int
 	// FailureDomain is that of this instance.
 	FailureDomain string
-	Pool          *httpconn.Pool
+	Upstream      Upstream
 	Log           *logrus.Entry
 	Metrics       Metrics
 }
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -25,7 +25,7 @@
 			g.relayStream(ctx, w, req, a, e)
 			return
 		}
-		body, err := readWhole(a.exchange)
+		body, err := readWhole(a.answer)
 		if err == nil {
 			g.writeWhole(w, a, body, e)
 			a.close()
@@ -88,7 +88,7 @@
 }
 
 func (g *Gateway) copyHeader(dst http.Header, a *attempt) {
-	for name, values := range g.Codec.EncodeAnswer(a.exchange.Response.Header) {
+	for name, values := range g.Codec.EncodeAnswer(a.answer.Header()) {
 		dst[name] = values
 	}
 	if _, ok := dst["Content-Type"]; !ok {
@@ -146,7 +146,7 @@
 // pass passes on the events of one server until its stream ends; the error
 // says how it broke.
 func (s *relayedStream) pass(a *attempt) error {
-	events := newEventReader(a.exchange)
+	events := newEventReader(a.answer)
 	silence := time.AfterFunc(noLimit, a.giveUp)
 	defer silence.Stop()
 	wait := max(streamSilence*s.req.route.GapObjective, leastSilence)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -12,7 +12,6 @@
 	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
-	"medlarslip/internal/transport/httpconn"
 )
 
 const (
@@ -127,17 +126,17 @@
 
 // attempt is one request to a backend server.
 type attempt struct {
-	gateway  *Gateway
-	req      *request
-	choice   *selection
-	model    string
-	exchange *httpconn.Exchange
-	reply    Reply
-	verdict  verdict
-	began    time.Time
-	cancel   context.CancelFunc
-	settled  bool
-	ctx      context.Context
+	gateway *Gateway
+	req     *request
+	choice  *selection
+	model   string
+	answer  RawAnswer
+	reply   Reply
+	verdict verdict
+	began   time.Time
+	cancel  context.CancelFunc
+	settled bool
+	ctx     context.Context
 	// slow is true where the header of the response took far longer than
 	// usual.
 	slow bool
@@ -164,13 +163,9 @@
 	a := &attempt{gateway: g, req: req, choice: choice, model: req.plan.model(), began: time.Now()}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	req.tried = append(req.tried, a.server())
-	reuse := httpconn.ReuseNone
-	if req.route.Repeatable() {
-		reuse = httpconn.ReuseIdle
-	}
 	limit := time.AfterFunc(g.patience(req, a.began), a.giveUp)
 	var err error
-	a.exchange, err = g.Pool.Exchange(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID), reuse)
+	a.answer, err = g.Upstream.Send(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID))
 	limit.Stop()
 	a.judge(err)
 	return a
@@ -199,7 +194,7 @@
 }
 
 // encode puts together the bytes of the request.
-func (a *attempt) encode(lastEventID string) httpconn.RawRequest {
+func (a *attempt) encode(lastEventID string) RawRequest {
 	r := a.req
 	header := a.gateway.Codec.EncodeAttempt(r.http.Header, Attempt{
 		Remaining:   r.remaining(a.began),
@@ -217,7 +212,7 @@
 	// Writing to a buffer does not fail.
 	_ = header.Write(&head)
 	head.WriteString("\r\n")
-	return httpconn.RawRequest{Method: r.http.Method, Head: head.Bytes(), Body: r.body}
+	return RawRequest{Method: r.http.Method, Head: head.Bytes(), Body: r.body, Repeatable: r.route.Repeatable()}
 }
 
 // judge notes how the attempt went up to the header of the response.
@@ -226,7 +221,7 @@
 	if err != nil {
 		a.verdict = judgeError(err)
 	} else {
-		a.reply = a.gateway.Codec.DecodeReply(a.exchange.Response.StatusCode, a.exchange.Response.Header)
+		a.reply = a.gateway.Codec.DecodeReply(a.answer.Status(), a.answer.Header())
 		a.verdict = judgeReply(&a.reply, a.req.call.ID)
 		a.noteLoad()
 	}
@@ -268,7 +263,7 @@
 		return backends.CallSlow
 	case a.verdict == deliver:
 		return backends.CallGood
-	case a.verdict == notRun && (a.exchange == nil || a.reply.Status == http.StatusMisdirectedRequest):
+	case a.verdict == notRun && (a.answer == nil || a.reply.Status == http.StatusMisdirectedRequest):
 		return backends.CallUnreachable
 	case a.verdict == notRun:
 		return backends.CallBusy
@@ -282,8 +277,8 @@
 // close ends the attempt; a response that was not read to its end closes its
 // connection, so that the server stops.
 func (a *attempt) close() {
-	if a.exchange != nil {
-		a.exchange.Close()
+	if a.answer != nil {
+		a.answer.Close()
 	}
 	a.cancel()
 	a.settle()
--- a/internal/coordination/gateway/verdict.go
+++ b/internal/coordination/gateway/verdict.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"net/http"
-
-	"medlarslip/internal/transport/httpconn"
-)
+import "net/http"
 
 // verdict says what the end of an attempt means for its request.
 type verdict int
@@ -36,7 +32,7 @@
 
 // judgeError judges an attempt that brought no response.
 func judgeError(err error) verdict {
-	if httpconn.MayHaveRun(err) {
+	if mayHaveRun(err) {
 		return unknown
 	}
 	return notRun
--- a/internal/coordination/gateway/verdict_test.go
+++ b/internal/coordination/gateway/verdict_test.go
@@ -6,8 +6,6 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-
-	"medlarslip/internal/transport/httpconn"
 )
 
 // TestVerdicts is the table of how an attempt may end: what it means, and
@@ -23,9 +21,8 @@
 		// that may run more than once, and for those that may not.
 		repeat, repeatOnce bool
 	}{
-		{"refused connection", judgeError(&httpconn.CallError{Phase: httpconn.PhaseConnect}), notRun, true, true},
-		{"reset while writing", judgeError(&httpconn.CallError{Phase: httpconn.PhaseRequest}), unknown, true, false},
-		{"reset before an answer", judgeError(&httpconn.CallError{Phase: httpconn.PhaseResponse}), unknown, true, false},
+		{"refused connection", judgeError(&SendError{MayHaveRun: false}), notRun, true, true},
+		{"reset once something was written", judgeError(&SendError{MayHaveRun: true}), unknown, true, false},
 		{"another error", judgeError(errors.New("x")), unknown, true, false},
 		{"whole answer", judgeReply(sealed(http.StatusOK), id), deliver, false, false},
 		{"answer without seal", judgeReply(&Reply{Status: http.StatusOK, RequestID: id}, id), unknown, true, false},
--- a/platform/topic.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -1,4 +1,4 @@
-package platform
+package keyedlog
 
 import (
 	"context"
@@ -12,40 +12,31 @@
 	"medlarslip/internal/pause"
 )
 
-// topicReader receives what a topic holds, in the order of its log.
-type topicReader interface {
-	// replace takes the newest record of every key.
-	replace(records []record)
-	// apply takes one further record.
-	apply(r record)
-	// caughtUp is called when all records up to the end were taken.
-	caughtUp()
-}
-
-// followerOptions are what a follower works with.
-type followerOptions struct {
-	store *storeClient
-	topic string
-	// leads reports whether this instance reads the topic at the store. The
+// Options are what a Follower works with.
+type Options struct {
+	Store Store
+	Topic string
+	// Leads reports whether this instance reads the topic at the store. The
 	// others take the records from a peer that has taken more.
-	leads func() bool
-	// wait is how long a read at the store waits for a change.
-	wait time.Duration
-	// pace is the least time between the starts of two reads that bring
+	Leads func() bool
+	// Wait is how long a read at the store waits for a change.
+	Wait time.Duration
+	// Pace is the least time between the starts of two reads that bring
 	// something, so that several changes come at once.
-	pace   time.Duration
-	reader topicReader
-	// relay reads the records that a peer has taken.
-	relay func(ctx context.Context, address, topic string, from int64) (*relayedPage, error)
-	// changed is called when records were taken from the store, or contact with
+	Pace   time.Duration
+	Reader Reader
+	// Relay reaches the peers.
+	Relay Relay
+	// Changed is called when records were taken from the store, or contact with
 	// it was lost or regained.
-	changed func()
-	log     *logrus.Entry
+	Changed func()
+	Log     *logrus.Entry
 }
 
-// follower keeps a topicReader up to date with one topic.
-type follower struct {
-	followerOptions
+// Follower keeps a Reader up to date with one topic. Its methods but Run are
+// safe for concurrent use.
+type Follower struct {
+	opts    Options
 	history history
 	// next is the offset to read from; -1 before the first read.
 	next int64
@@ -79,19 +70,40 @@
 	lateAfter = 400 * time.Millisecond
 )
 
-func newFollower(opts followerOptions) *follower {
-	opts.log = opts.log.WithField("topic", opts.topic)
-	f := &follower{followerOptions: opts, next: -1, ahead: make(chan string, 1), wake: make(chan struct{}, 1)}
+// New returns a follower that has read nothing yet.
+func New(opts Options) *Follower {
+	opts.Log = opts.Log.WithField("topic", opts.Topic)
+	f := &Follower{opts: opts, next: -1, ahead: make(chan string, 1), wake: make(chan struct{}, 1)}
 	f.applied.Store(-1)
 	return f
 }
 
-// proven returns the moment at which the reader's state was surely the newest.
-func (f *follower) proven() boottime.Instant { return boottime.Instant(f.provenAt.Load()) }
+// Topic returns the name of the topic.
+func (f *Follower) Topic() string { return f.opts.Topic }
+
+// Applied returns the offset up to which the reader has taken all records; -1
+// before the first read.
+func (f *Follower) Applied() int64 { return f.applied.Load() }
+
+// End returns the latest known end of the topic.
+func (f *Follower) End() int64 { return f.end.Load() }
+
+// ReadAt returns the start of the latest own read that showed the end.
+func (f *Follower) ReadAt() boottime.Instant { return boottime.Instant(f.readAt.Load()) }
 
-// adopt takes over the proof of a peer that at a moment the topic had the given
+// RegainedAt returns when the store answered again after an outage; 0 if there
+// was none.
+func (f *Follower) RegainedAt() boottime.Instant { return boottime.Instant(f.regainedAt.Load()) }
+
+// Lost reports whether the store does not answer.
+func (f *Follower) Lost() bool { return f.lost.Load() }
+
+// Proven returns the moment at which the reader's state was surely the newest.
+func (f *Follower) Proven() boottime.Instant { return boottime.Instant(f.provenAt.Load()) }
+
+// Adopt takes over the proof of a peer that at a moment the topic had the given
 // end, if all records up to it were taken here.
-func (f *follower) adopt(end int64, at boottime.Instant) {
+func (f *Follower) Adopt(end int64, at boottime.Instant) {
 	if applied := f.applied.Load(); applied < 0 || applied < end {
 		return
 	}
@@ -99,7 +111,7 @@
 }
 
 // prove keeps the latest proof.
-func (f *follower) prove(at boottime.Instant) {
+func (f *Follower) prove(at boottime.Instant) {
 	for {
 		known := f.provenAt.Load()
 		if int64(at) <= known || f.provenAt.CompareAndSwap(known, int64(at)) {
@@ -108,8 +120,8 @@
 	}
 }
 
-// compare hears how far a peer has come.
-func (f *follower) compare(applied int64, address string) {
+// Compare hears how far a peer has come.
+func (f *Follower) Compare(applied int64, address string) {
 	if applied <= f.applied.Load() {
 		return
 	}
@@ -119,19 +131,19 @@
 	}
 }
 
-// rouse ends a wait for peers.
-func (f *follower) rouse() {
+// Rouse ends a wait for peers.
+func (f *Follower) Rouse() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
 }
 
-// known reports whether the topic was ever read to its end.
-func (f *follower) known() bool { return f.readAt.Load() != 0 }
+// Known reports whether the topic was ever read to its end.
+func (f *Follower) Known() bool { return f.readAt.Load() != 0 }
 
-// run follows the topic until ctx ends.
-func (f *follower) run(ctx context.Context) error {
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -139,8 +151,8 @@
 		case err == nil:
 			backoff = firstBackoff
 		case ctx.Err() != nil:
-		case errors.Is(err, errExpired):
-			f.log.WithField("event", "history_expired").WithField("offset", f.next).Info("records expired; reading the newest of each key")
+		case errors.Is(err, ErrExpired):
+			f.opts.Log.WithField("event", "history_expired").WithField("offset", f.next).Info("records expired; reading the newest of each key")
 			f.next = -1
 		default:
 			f.noteLoss(err)
@@ -151,12 +163,12 @@
 	return nil
 }
 
-func (f *follower) step(ctx context.Context) error {
+func (f *Follower) step(ctx context.Context) error {
 	switch {
 	case f.next < 0:
 		return f.readNewest(ctx)
-	case f.leads():
-		return f.readStore(ctx, f.wait)
+	case f.opts.Leads():
+		return f.readStore(ctx, f.opts.Wait)
 	}
 	select {
 	case address := <-f.ahead:
@@ -168,24 +180,24 @@
 }
 
 // readNewest begins anew with the newest record of every key.
-func (f *follower) readNewest(ctx context.Context) error {
+func (f *Follower) readNewest(ctx context.Context) error {
 	started := boottime.Now()
-	records, next, err := f.store.newest(ctx, f.topic)
+	records, next, err := f.opts.Store.Newest(ctx, f.opts.Topic)
 	if err != nil {
 		return err
 	}
 	f.noteContact()
-	f.reader.replace(records)
+	f.opts.Reader.Replace(records)
 	f.history.restart(next)
 	f.taken(next, next, started)
 	return nil
 }
 
 // readStore makes one read at the store.
-func (f *follower) readStore(ctx context.Context, wait time.Duration) error {
+func (f *Follower) readStore(ctx context.Context, wait time.Duration) error {
 	started := boottime.Now()
 	late := time.AfterFunc(wait+lateAfter, func() { f.noteLoss(errLate) })
-	p, err := f.store.read(ctx, f.topic, f.next, wait)
+	p, err := f.opts.Store.Read(ctx, f.opts.Topic, f.next, wait)
 	late.Stop()
 	if err != nil {
 		return err
@@ -194,18 +206,18 @@
 	f.apply(p.Records, p.Next)
 	f.taken(p.Next, p.End, started)
 	if len(p.Records) > 0 {
-		f.changed()
-		pause.For(ctx, f.pace-boottime.Now().Since(started))
+		f.opts.Changed()
+		pause.For(ctx, f.opts.Pace-boottime.Now().Since(started))
 	}
 	return nil
 }
 
 // readPeer takes the records that a peer has taken before; where the peer does
 // not have them any more, or not answer, the store is asked.
-func (f *follower) readPeer(ctx context.Context, address string) error {
-	p, err := f.relay(ctx, address, f.topic, f.next)
+func (f *Follower) readPeer(ctx context.Context, address string) error {
+	p, err := f.opts.Relay.Fetch(ctx, address, f.opts.Topic, f.next)
 	if err != nil {
-		f.log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records; asking the store")
+		f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records; asking the store")
 		return f.readStore(ctx, 0)
 	}
 	if p.Regained != nil {
@@ -214,44 +226,42 @@
 	f.apply(p.Records, p.Next)
 	f.next = p.Next
 	f.applied.Store(p.Next)
-	f.reader.caughtUp()
+	f.opts.Reader.CaughtUp()
 	return nil
 }
 
-func (f *follower) apply(records []record, next int64) {
+func (f *Follower) apply(records []Record, next int64) {
 	for _, r := range records {
-		f.reader.apply(r)
+		f.opts.Reader.Apply(r)
 	}
 	f.history.add(records, next)
 }
 
-func (f *follower) taken(next, end int64, started boottime.Instant) {
+func (f *Follower) taken(next, end int64, started boottime.Instant) {
 	f.next = next
 	f.end.Store(end)
 	f.applied.Store(next)
 	if next < end {
 		return
 	}
-	f.reader.caughtUp()
+	f.opts.Reader.CaughtUp()
 	f.readAt.Store(int64(started))
 	f.prove(started)
 }
 
-func (f *follower) noteContact() {
+func (f *Follower) noteContact() {
 	if !f.lost.Swap(false) {
 		return
 	}
 	f.regainedAt.Store(int64(boottime.Now()))
-	f.changed()
-	f.log.WithField("event", "store_regained").Info("store answers again")
+	f.opts.Changed()
+	f.opts.Log.WithField("event", "store_regained").Info("store answers again")
 }
 
-var errLate = errors.New("answer of the store is late; another instance may lead")
-
-func (f *follower) noteLoss(err error) {
+func (f *Follower) noteLoss(err error) {
 	if f.lost.Swap(true) {
 		return
 	}
-	f.changed()
-	f.log.WithError(err).WithField("event", "store_lost").Warn("store does not answer")
+	f.opts.Changed()
+	f.opts.Log.WithError(err).WithField("event", "store_lost").Warn("store does not answer")
 }
--- /dev/null
+++ b/internal/coordination/keyedlog/keyedlog_test.go
@@ -0,0 +1,224 @@
+package keyedlog
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/boottime"
+)
+
+const topicName = "topic"
+
+// fakeStore holds one topic in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	records []Record
+	first   int64
+	err     error
+	reads   int
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Record{Key: key, Offset: s.first + int64(len(s.records))}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	s.records = append(s.records, r)
+}
+
+func (s *fakeStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first += int64(len(s.records))
+	s.records = nil
+}
+
+func (s *fakeStore) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+func (s *fakeStore) Read(_ context.Context, _ string, from int64, _ time.Duration) (*Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.err != nil {
+		return nil, s.err
+	}
+	if from < s.first {
+		return nil, ErrExpired
+	}
+	end := s.first + int64(len(s.records))
+	return &Page{Records: append([]Record(nil), s.records[from-s.first:]...), Next: end, End: end}, nil
+}
+
+func (s *fakeStore) Newest(context.Context, string) ([]Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Record(nil), s.records...), s.first + int64(len(s.records)), s.err
+}
+
+func (s *fakeStore) Append(context.Context, string, string, []byte, int64) error { return s.err }
+
+// view is a Reader that keeps the newest value of each key.
+type view struct {
+	values  map[string]string
+	replies int
+}
+
+func (v *view) Replace(records []Record) {
+	v.values = map[string]string{}
+	for _, r := range records {
+		v.Apply(r)
+	}
+}
+
+func (v *view) Apply(r Record) { v.values[r.Key] = string(r.Value) }
+func (v *view) CaughtUp()      { v.replies++ }
+
+// peersOf relays from followers by their names.
+type peersOf map[string]*Follower
+
+var errPeerDown = errors.New("peer is down")
+
+func (p peersOf) Fetch(_ context.Context, address, _ string, from int64) (*RelayedPage, error) {
+	f, ok := p[address]
+	if !ok {
+		return nil, errPeerDown
+	}
+	return f.Since(from)
+}
+
+func newFollower(store Store, reader Reader, relay Relay, leads bool) *Follower {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(Options{
+		Store: store, Topic: topicName, Leads: func() bool { return leads }, Reader: reader,
+		Relay: relay, Changed: func() {}, Log: logrus.NewEntry(logger),
+	})
+}
+
+// pair returns a follower that reads at the store and one that does not.
+func pair(t *testing.T) (*fakeStore, *Follower, *Follower, *view) {
+	t.Helper()
+	store := &fakeStore{}
+	store.put("k", "1")
+	relay := peersOf{}
+	leader := newFollower(store, &view{}, relay, true)
+	seen := &view{}
+	other := newFollower(store, seen, relay, false)
+	relay["leader"] = leader
+	must.NoError(t, leader.step(t.Context()))
+	must.NoError(t, other.step(t.Context()))
+	return store, leader, other, seen
+}
+
+// TestRecordsComeFromPeers: a follower that does not lead takes what a peer has
+// taken, also while the store answers nobody, and proves nothing by it.
+func TestRecordsComeFromPeers(t *testing.T) {
+	store, leader, other, seen := pair(t)
+	store.put("k", "2")
+	must.NoError(t, leader.step(t.Context()))
+	store.fail(errors.New("down"))
+	proven := other.Proven()
+	other.Compare(1, "leader")
+	must.Zero(t, len(other.ahead))
+	other.Compare(leader.Applied(), "leader")
+	must.NoError(t, other.step(t.Context()))
+	must.Eq(t, "2", seen.values["k"])
+	must.Eq(t, proven, other.Proven())
+}
+
+// TestStoreIsAskedWhereAPeerCanNotHelp: it is down, or keeps too little.
+func TestStoreIsAskedWhereAPeerCanNotHelp(t *testing.T) {
+	for _, peer := range []string{"leader", "gone"} {
+		store, leader, other, seen := pair(t)
+		store.put("k", "2")
+		must.NoError(t, leader.step(t.Context()))
+		leader.history.restart(2)
+		other.Compare(2, peer)
+		must.NoError(t, other.step(t.Context()))
+		must.Eq(t, "2", seen.values["k"])
+	}
+}
+
+// TestProofsArePassedOnOnlyOverWhatWasTaken: see the design of the platform.
+func TestProofsArePassedOnOnlyOverWhatWasTaken(t *testing.T) {
+	_, _, other, _ := pair(t)
+	at := other.Proven() + 5
+	other.Adopt(2, at)
+	must.Less(t, at, other.Proven())
+	other.Adopt(1, at)
+	must.Eq(t, at, other.Proven())
+	other.Adopt(1, at-3)
+	must.Eq(t, at, other.Proven())
+}
+
+// TestExpiredRecordsAreReadAnew: keys that were dropped meanwhile are gone.
+func TestExpiredRecordsAreReadAnew(t *testing.T) {
+	store, leader, _, _ := pair(t)
+	store.put("other", "1")
+	store.compact()
+	store.put("k", "3")
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- leader.Run(ctx) }()
+	for leader.Applied() != 3 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	must.NoError(t, <-done)
+	must.Eq(t, map[string]string{"k": "3"}, leader.opts.Reader.(*view).values)
+}
+
+// TestOutageIsTold: the peers learn when the store answered again, since entries
+// may have lapsed meanwhile.
+func TestOutageIsTold(t *testing.T) {
+	store, leader, other, _ := pair(t)
+	must.False(t, leader.Lost())
+	leader.noteLoss(errLate)
+	must.True(t, leader.Lost())
+	store.put("k", "2")
+	must.NoError(t, leader.step(t.Context()))
+	must.False(t, leader.Lost())
+	must.Positive(t, leader.RegainedAt())
+	must.Zero(t, other.RegainedAt())
+	other.Compare(2, "leader")
+	must.NoError(t, other.step(t.Context()))
+	must.Positive(t, other.RegainedAt())
+	must.LessEq(t, boottime.Now(), other.RegainedAt())
+}
+
+// TestHistoryIsBoundedAndWhole: what is passed on has no gaps.
+func TestHistoryIsBoundedAndWhole(t *testing.T) {
+	var h history
+	h.restart(10)
+	for offset := int64(10); offset < 10+2*historyRecords; offset++ {
+		h.add([]Record{{Key: "k", Value: []byte("v"), Offset: offset}}, offset+1)
+	}
+	end := int64(10 + 2*historyRecords)
+	records, next, ok := h.since(end - 3)
+	must.True(t, ok)
+	must.Len(t, 3, records)
+	must.Eq(t, end, next)
+	_, _, ok = h.since(10)
+	must.False(t, ok)
+	_, _, ok = h.since(end + 1)
+	must.False(t, ok)
+	h.add([]Record{{Key: "k", Value: make([]byte, historyBytes+1), Offset: end}}, end+1)
+	_, _, ok = h.since(end)
+	must.False(t, ok)
+	records, _, ok = h.since(end + 1)
+	must.True(t, ok)
+	must.Len(t, 0, records)
+}
--- /dev/null
+++ b/internal/coordination/peers/lead.go
@@ -0,0 +1,51 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Place returns the place of this instance in the order in which instances
+// lead; while it is not ready, the place after the last.
+func (t *Table) Place() int {
+	order := *t.order.Load()
+	if place := slices.Index(order, t.opts.Name); place >= 0 {
+		return place
+	}
+	return len(order)
+}
+
+// LeaderSilence returns the time since one of the instances that lead was last
+// heard; 0 for an instance that leads itself.
+func (t *Table) LeaderSilence() time.Duration {
+	order := *t.order.Load()
+	leaders := order[:min(len(order), Leaders)]
+	if slices.Contains(leaders, t.opts.Name) {
+		return 0
+	}
+	now := t.opts.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	silence := sparseSilence
+	for _, name := range leaders {
+		if p := t.peers[name]; p != nil && !p.heardAt.IsZero() {
+			silence = min(silence, now.Sub(p.heardAt))
+		}
+	}
+	return silence
+}
+
+// renewOrder orders the instances that run, are ready, and reach the store as
+// far as they know.
+func (t *Table) renewOrder() {
+	running := t.Running()
+	slices.SortStableFunc(running, func(a, b Instance) int { return cmp.Compare(b.Weight, a.Weight) })
+	order := make([]string, 0, len(running))
+	for i := range running {
+		if running[i].Ready && !running[i].StoreLost {
+			order = append(order, running[i].Name)
+		}
+	}
+	t.order.Store(&order)
+}
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -5,22 +5,16 @@
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
-	"errors"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/staging"
-	"medlarslip/internal/pause"
 )
 
 const (
@@ -125,16 +119,6 @@
 	}
 }
 
-// Place returns the place of this instance in the order in which instances
-// lead; while it is not ready, the place after the last.
-func (t *Table) Place() int {
-	order := *t.order.Load()
-	if place := slices.Index(order, t.opts.Name); place >= 0 {
-		return place
-	}
-	return len(order)
-}
-
 // Add makes an instance known of which only a record was read. It counts as
 // running only once it is heard.
 func (t *Table) Add(instance Instance) {
@@ -214,125 +198,3 @@
 	slices.SortFunc(running, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
 	return running
 }
-
-// target is where a datagram goes, with what it echoes.
-type target struct {
-	address string
-	echo    boottime.Instant
-}
-
-// targets returns the peers that get a datagram in the given round.
-func (t *Table) targets(round int) []target {
-	order := *t.order.Load()
-	leaders := order[:min(len(order), Leaders)]
-	all := slices.Contains(leaders, t.opts.Name) || round%sparse == 0
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all = all || len(t.peers) <= smallFleet
-	targets := make([]target, 0, len(t.peers))
-	for name, p := range t.peers {
-		if all || slices.Contains(leaders, name) {
-			targets = append(targets, target{address: p.instance.PeerAddress, echo: p.echo})
-		}
-	}
-	return targets
-}
-
-// LeaderSilence returns the time since one of the instances that lead was last
-// heard; 0 for an instance that leads itself.
-func (t *Table) LeaderSilence() time.Duration {
-	order := *t.order.Load()
-	leaders := order[:min(len(order), Leaders)]
-	if slices.Contains(leaders, t.opts.Name) {
-		return 0
-	}
-	now := t.opts.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	silence := sparseSilence
-	for _, name := range leaders {
-		if p := t.peers[name]; p != nil && !p.heardAt.IsZero() {
-			silence = min(silence, now.Sub(p.heardAt))
-		}
-	}
-	return silence
-}
-
-// renewOrder orders the instances that run, are ready, and reach the store as
-// far as they know.
-func (t *Table) renewOrder() {
-	running := t.Running()
-	slices.SortStableFunc(running, func(a, b Instance) int { return cmp.Compare(b.Weight, a.Weight) })
-	order := make([]string, 0, len(running))
-	for i := range running {
-		if running[i].Ready && !running[i].StoreLost {
-			order = append(order, running[i].Name)
-		}
-	}
-	t.order.Store(&order)
-}
-
-// Run sends and receives datagrams on conn until ctx ends.
-func (t *Table) Run(ctx context.Context, conn net.PacketConn) error {
-	group, ctx := errgroup.WithContext(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	group.Go(func() error { return t.receive(ctx, conn) })
-	group.Go(func() error { return t.send(ctx, conn) })
-	return group.Wait()
-}
-
-func (t *Table) receive(ctx context.Context, conn net.PacketConn) error {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, _, err := conn.ReadFrom(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return err
-		}
-		if err != nil {
-			// An earlier datagram met a closed port; its peer shows as silent.
-			continue
-		}
-		var d datagram
-		if json.Unmarshal(buffer[:n], &d) == nil {
-			t.hear(&d)
-		}
-	}
-}
-
-func (t *Table) send(ctx context.Context, conn net.PacketConn) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for round := 0; ; round++ {
-		t.renewOrder()
-		t.sendRound(conn, round)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.kick:
-			pause.For(ctx, kickPause)
-		case <-ticker.C:
-		}
-	}
-}
-
-// sendRound sends one datagram to each peer of a round. A failed send shows at
-// the peer as a lost datagram.
-func (t *Table) sendRound(conn net.PacketConn, round int) {
-	d := datagram{Instance: t.opts.Self(), Proof: t.opts.Proof()}
-	for _, to := range t.targets(round) {
-		d.Echo = Echo{Sent: boottime.Now(), Echoed: to.echo}
-		content, err := json.Marshal(&d)
-		if err != nil || len(content) > maxDatagram {
-			return
-		}
-		address, err := net.ResolveUDPAddr("udp4", to.address)
-		if err != nil {
-			continue
-		}
-		_, _ = conn.WriteTo(content, address)
-	}
-}
--- /dev/null
+++ b/internal/coordination/staging/decider.go
@@ -0,0 +1,71 @@
+package staging
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// decideInterval is how often roll-outs are looked at.
+	decideInterval = 300 * time.Millisecond
+	// takeoverDelay is how long each instance waits for the one before it.
+	takeoverDelay = time.Second
+)
+
+// Decider has agreed what is to be agreed of roll-outs. The first instance does
+// so; the others take over when it does not. Agree must refuse what contradicts
+// an agreement that this instance does not know yet.
+type Decider struct {
+	Controller *Controller
+	// Ready reports whether this instance may decide.
+	Ready func() bool
+	// Place is the place of this instance among those that may decide.
+	Place func() int
+	// Serving returns the number of servers of a version that take requests.
+	Serving func(service, version string) int
+	// Agree makes a status known to all instances and to the operator.
+	Agree func(ctx context.Context, status Status) error
+	Log   *logrus.Entry
+}
+
+// Run decides until ctx ends.
+func (d *Decider) Run(ctx context.Context) error {
+	ticker := time.NewTicker(decideInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.tick(ctx)
+		}
+	}
+}
+
+func (d *Decider) tick(ctx context.Context) {
+	if !d.Ready() {
+		return
+	}
+	turn := time.Duration(d.Place()) * takeoverDelay
+	for _, decision := range d.Controller.Decide(d.Serving) {
+		if d.Controller.now().Sub(decision.Due) >= turn {
+			d.agree(ctx, &decision)
+		}
+	}
+}
+
+func (d *Decider) agree(ctx context.Context, decision *Decision) {
+	status := decision.Status
+	entry := d.Log.WithFields(logrus.Fields{
+		"event": "rollout_decided", "service": status.Service, "target": status.Target,
+		"state": status.State, "reason": decision.Reason,
+	})
+	if err := d.Agree(ctx, status); err != nil {
+		entry.WithError(err).Warn("status of a roll-out was not agreed yet")
+		return
+	}
+	entry.Info("status of a roll-out is agreed")
+	d.Controller.SetStatus(status)
+}
--- a/internal/coordination/staging/staging_test.go
+++ b/internal/coordination/staging/staging_test.go
@@ -1,10 +1,14 @@
 package staging_test
 
 import (
+	"context"
+	"errors"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/coordination/staging"
 )
@@ -202,6 +206,42 @@
 	must.Eq(t, staging.Running, f.decide(0)[0].Status.State)
 }
 
+// TestNextInstanceTakesOver: an instance decides only when those before it had
+// their time, and what another has agreed is not decided again.
+func TestNextInstanceTakesOver(t *testing.T) {
+	f := newFleet(1)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var agreed []staging.Status
+	place, lost := 1, true
+	d := &staging.Decider{
+		Controller: f.controllers[0], Ready: func() bool { return true }, Place: func() int { return place },
+		Serving: func(string, string) int { return 3 }, Log: logrus.NewEntry(logger),
+		Agree: func(_ context.Context, status staging.Status) error {
+			if lost {
+				return errors.New("store is down")
+			}
+			agreed = append(agreed, status)
+			return nil
+		},
+	}
+	f.order(newOne, 20*time.Second)
+	staging.Tick(t.Context(), d)
+	f.clock.advance(1100 * time.Millisecond)
+	staging.Tick(t.Context(), d)
+	must.Len(t, 0, agreed)
+	lost = false
+	staging.Tick(t.Context(), d)
+	staging.Tick(t.Context(), d)
+	must.Eq(t, []staging.Status{{Service: service, Target: newOne, State: staging.Running}}, agreed)
+	f.clock.advance(15 * time.Second)
+	staging.Tick(t.Context(), d)
+	f.controllers[0].SetStatus(staging.Status{Service: service, Target: newOne, State: staging.RolledBack})
+	f.clock.advance(2 * time.Second)
+	staging.Tick(t.Context(), d)
+	must.Len(t, 1, agreed)
+}
+
 func TestSucceededVersionTakesAll(t *testing.T) {
 	f := newFleet(1)
 	f.order(newOne, 20*time.Second)
--- /dev/null
+++ b/internal/transport/logrelay/logrelay.go
@@ -0,0 +1,81 @@
+// Package logrelay carries records of followed topics between instances.
+package logrelay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"medlarslip/internal/coordination/keyedlog"
+	"medlarslip/internal/transport/httpconn"
+)
+
+const (
+	// path is where an instance passes on records.
+	path = "/records"
+	// timeout bounds the wait for a peer; after it the store is asked.
+	timeout = 700 * time.Millisecond
+	// maxAnswer bounds an answer in bytes, above what an instance keeps.
+	maxAnswer = 4 << 20
+)
+
+// Server passes on what this instance has taken.
+type Server struct {
+	// Topic returns the follower of a topic, or nil.
+	Topic func(name string) *keyedlog.Follower
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
+	topic := s.Topic(query.Get("topic"))
+	if r.URL.Path != path || err != nil || topic == nil {
+		http.Error(w, "name a topic and an offset", http.StatusBadRequest)
+		return
+	}
+	page, err := topic.Since(from)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusGone)
+		return
+	}
+	// A peer that has gone needs no answer.
+	_ = json.NewEncoder(w).Encode(page)
+}
+
+// Client reads from peers. It implements keyedlog.Relay.
+type Client struct {
+	Pool *httpconn.Pool
+}
+
+var _ keyedlog.Relay = (*Client)(nil)
+
+// Fetch implements keyedlog.Relay.
+func (c *Client) Fetch(ctx context.Context, address, topic string, from int64) (*keyedlog.RelayedPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}}
+	head := "GET " + path + "?" + query.Encode() + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"
+	x, err := c.Pool.Exchange(ctx, address, httpconn.RawRequest{Method: http.MethodGet, Head: []byte(head)}, httpconn.ReuseIdle)
+	if err != nil {
+		return nil, err
+	}
+	defer x.Close()
+	body, err := io.ReadAll(io.LimitReader(x, maxAnswer))
+	if err != nil {
+		return nil, err
+	}
+	if x.Response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w (status %d)", keyedlog.ErrNotKept, x.Response.StatusCode)
+	}
+	var page keyedlog.RelayedPage
+	if err := json.Unmarshal(body, &page); err != nil {
+		return nil, err
+	}
+	return &page, nil
+}
