Give more answers of the smallest model while servers have queues

The confidence that is enough now falls with the mean queue, and streams are waited for four objectives.

--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -2,9 +2,14 @@
 
 import "medlarslip/internal/protocol/routes"
 
-// enoughConfidence is the confidence, 0 to 100, from which the answer of a
-// smaller model is given: even odds that it is good enough.
-const enoughConfidence = 50
+const (
+	// enoughConfidence is the confidence, 0 to 100, from which the answer of a
+	// smaller model is given: even odds that it is good enough.
+	enoughConfidence = 50
+	// fullQueue is the mean queue at the servers at which no answer is run
+	// again, since a stronger model would answer late and make others late.
+	fullQueue = 10.0
+)
 
 // cascadePlan chooses the models of one request, smallest first.
 type cascadePlan struct {
@@ -32,9 +37,10 @@
 func (p *cascadePlan) last() bool { return p.step >= len(p.models)-1 }
 
 // weak reports whether an answer should be dropped for that of a stronger
-// model.
-func (p *cascadePlan) weak(confidence int) bool {
-	return !p.last() && confidence >= 0 && confidence < enoughConfidence
+// model. The longer the queue at the servers, the more answers are given.
+func (p *cascadePlan) weak(confidence int, queue float64) bool {
+	enough := enoughConfidence * max(1-queue/fullQueue, 0)
+	return !p.last() && confidence >= 0 && float64(confidence) < enough
 }
 
 // advance moves on to the strongest model.
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -75,7 +75,7 @@
 // dropWeak drops the answer of a smaller model in favor of a stronger one, if
 // its confidence is low and the budget allows another run.
 func (g *Gateway) dropWeak(ctx context.Context, req *request, a *attempt) bool {
-	if !req.plan.weak(a.reply.Confidence) || !req.attemptsLeft() || ctx.Err() != nil {
+	if !req.plan.weak(a.reply.Confidence, g.queueLength(req.service, time.Now())) || !req.attemptsLeft() || ctx.Err() != nil {
 		return false
 	}
 	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
@@ -175,6 +175,9 @@
 	// patienceFactor is the number of latency objectives after which another
 	// server is asked, where the request may be repeated.
 	patienceFactor = 2
+	// streamPatienceFactor is the same for streams, whose servers keep a queue:
+	// a request that is taken back loses its place there.
+	streamPatienceFactor = 4
 	// leastPatience keeps that time above what a loaded server usually takes.
 	leastPatience = 200 * time.Millisecond
 	// noLimit stands for a wait that only the request itself bounds.
@@ -186,7 +189,11 @@
 	if !req.route.Repeatable() || req.sent+1 >= req.route.MaxAttempts {
 		return noLimit
 	}
-	patience := max(patienceFactor*req.route.Objective, leastPatience)
+	factor := time.Duration(patienceFactor)
+	if req.route.Kind == routes.Stream {
+		factor = streamPatienceFactor
+	}
+	patience := max(factor*req.route.Objective, leastPatience)
 	if remaining := req.remaining(now); remaining > 0 {
 		patience = min(patience, remaining/2)
 	}
