--- a/internal/capacity/naive.go
+++ b/internal/capacity/naive.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/state/backends"
 	"medlarslip/internal/transport/enginemetrics"
@@ -45,16 +46,8 @@
 }
 
 func (v *naive) run(ctx context.Context) error {
-	ticker := time.NewTicker(naiveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			v.tick(ctx)
-		}
-	}
+	pause.Every(ctx, naiveInterval, func() { v.tick(ctx) })
+	return nil
 }
 
 func (v *naive) tick(ctx context.Context) {
--- a/internal/coordination/loadwatch/loadwatch.go
+++ b/internal/coordination/loadwatch/loadwatch.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/coordination/gossip"
+	"medlarslip/internal/pause"
 	"medlarslip/internal/state/backends"
 )
 
@@ -110,16 +111,8 @@
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			w.Tick(ctx)
-		}
-	}
+	pause.Every(ctx, tickInterval, func() { w.Tick(ctx) })
+	return nil
 }
 
 // Tick reads the groups that are due.
--- a/internal/coordination/staging/decider.go
+++ b/internal/coordination/staging/decider.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/pause"
 )
 
 const (
@@ -32,16 +34,8 @@
 
 // Run decides until ctx ends.
 func (d *Decider) Run(ctx context.Context) error {
-	ticker := time.NewTicker(decideInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.tick(ctx)
-		}
-	}
+	pause.Every(ctx, decideInterval, func() { d.tick(ctx) })
+	return nil
 }
 
 func (d *Decider) tick(ctx context.Context) {
--- a/internal/coordination/staging/staging.go
+++ b/internal/coordination/staging/staging.go
@@ -49,7 +49,6 @@
 
 // Controller holds the orders in force. It is safe for concurrent use.
 type Controller struct {
-	instance string
 	share    func() float64
 	now      func() time.Time
 	mu       sync.Mutex
@@ -72,11 +71,11 @@
 	dueAt time.Time
 }
 
-// New returns a controller of the named instance. share returns the part of
-// the sessions, 0 to 1, that a new version gets.
-func New(instance string, share func() float64, now func() time.Time) *Controller {
+// New returns a controller without orders. share returns the part of the
+// sessions, 0 to 1, that a new version gets.
+func New(share func() float64, now func() time.Time) *Controller {
 	return &Controller{
-		instance: instance, share: share, now: now,
+		share: share, now: now,
 		orders:   map[string]*staged{},
 		statuses: map[string]Status{},
 		counts:   map[rollout.Arm]rollout.Counts{},
@@ -114,14 +113,6 @@
 	c.statuses[status.Service] = status
 }
 
-// Status returns what was agreed for a service.
-func (c *Controller) Status(service string) (Status, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	status, ok := c.statuses[service]
-	return status, ok
-}
-
 // orderLag is how long servers of a new version may be seen before the order
 // that brings them: the two are read from different topics. Above it they are
 // taken for an ordinary replacement.
--- a/internal/coordination/staging/staging_test.go
+++ b/internal/coordination/staging/staging_test.go
@@ -35,7 +35,7 @@
 func newFleet(size int) *fleet {
 	f := &fleet{clock: &clock{at: time.Unix(1000, 0)}}
 	for range size {
-		f.controllers = append(f.controllers, staging.New("n", func() float64 { return share }, f.clock.now))
+		f.controllers = append(f.controllers, staging.New(func() float64 { return share }, f.clock.now))
 	}
 	return f
 }
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -15,3 +15,17 @@
 	case <-ctx.Done():
 	}
 }
+
+// Every calls do after each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
