--- a/internal/coordination/keyedlog/follower.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -19,6 +19,9 @@
 	// Leads reports whether this instance reads the topic at the store. The
 	// others take the records from a peer that has taken more.
 	Leads func() bool
+	// Probes reports whether this instance is among those that find out first
+	// when the store answers again.
+	Probes func() bool
 	// Wait is how long a read at the store waits for a change.
 	Wait time.Duration
 	// Pace is the least time between the starts of two reads that bring
@@ -65,6 +68,9 @@
 	firstBackoff = 100 * time.Millisecond
 	// longestBackoff bounds that pause, so that contact is regained quickly.
 	longestBackoff = 400 * time.Millisecond
+	// patientBackoff is the bound for instances that can rely on others to find
+	// out, since every call has its price.
+	patientBackoff = 2 * time.Second
 	// lateAfter is the time over the wait of a read after which the store counts
 	// as lost, so that another instance leads: many times what an answer takes.
 	lateAfter = 400 * time.Millisecond
@@ -156,13 +162,41 @@
 			f.next = -1
 		default:
 			f.noteLoss(err)
-			pause.For(ctx, backoff)
-			backoff = min(2*backoff, longestBackoff)
+			f.rest(ctx, backoff)
+			backoff = min(2*backoff, f.longestBackoff())
 		}
 	}
 	return nil
 }
 
+func (f *Follower) longestBackoff() time.Duration {
+	if f.opts.Probes() {
+		return longestBackoff
+	}
+	return patientBackoff
+}
+
+// rest waits after a failed call, and meanwhile takes what peers have taken.
+func (f *Follower) rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case address := <-f.ahead:
+			if f.next < 0 {
+				continue
+			}
+			if err := f.takeRelayed(ctx, address); err != nil {
+				f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records")
+			}
+		}
+	}
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	switch {
 	case f.next < 0:
@@ -215,10 +249,18 @@
 // readPeer takes the records that a peer has taken before; where the peer does
 // not have them any more, or not answer, the store is asked.
 func (f *Follower) readPeer(ctx context.Context, address string) error {
+	err := f.takeRelayed(ctx, address)
+	if err == nil {
+		return nil
+	}
+	f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records; asking the store")
+	return f.readStore(ctx, 0)
+}
+
+func (f *Follower) takeRelayed(ctx context.Context, address string) error {
 	p, err := f.opts.Relay.Fetch(ctx, address, f.opts.Topic, f.next)
 	if err != nil {
-		f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records; asking the store")
-		return f.readStore(ctx, 0)
+		return err
 	}
 	if p.Regained != nil {
 		f.regainedAt.Store(int64(boottime.Now() - boottime.Instant(*p.Regained)))
--- a/internal/coordination/keyedlog/keyedlog_test.go
+++ b/internal/coordination/keyedlog/keyedlog_test.go
@@ -103,7 +103,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	return New(Options{
-		Store: store, Topic: topicName, Leads: func() bool { return leads }, Reader: reader,
+		Store: store, Topic: topicName, Leads: func() bool { return leads }, Probes: func() bool { return leads }, Reader: reader,
 		Relay: relay, Changed: func() {}, Log: logrus.NewEntry(logger),
 	})
 }
@@ -139,6 +139,26 @@
 	must.Eq(t, proven, other.Proven())
 }
 
+// TestRecordsComeFromPeersWhileTheStoreIsLost: an instance that the store refuses
+// learns of changes all the same.
+func TestRecordsComeFromPeersWhileTheStoreIsLost(t *testing.T) {
+	store, leader, other, seen := pair(t)
+	store.put("k", "2")
+	must.NoError(t, leader.step(t.Context()))
+	other.noteLoss(errLate)
+	ctx, cancel := context.WithCancel(t.Context())
+	other.Compare(2, "leader")
+	go func() {
+		for other.Applied() != 2 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	other.rest(ctx, time.Hour)
+	must.Eq(t, "2", seen.values["k"])
+	must.True(t, other.Lost())
+}
+
 // TestStoreIsAskedWhereAPeerCanNotHelp: it is down, or keeps too little.
 func TestStoreIsAskedWhereAPeerCanNotHelp(t *testing.T) {
 	for _, peer := range []string{"leader", "gone"} {
--- a/internal/coordination/peers/lead.go
+++ b/internal/coordination/peers/lead.go
@@ -16,6 +16,12 @@
 	return len(order)
 }
 
+// Elder reports whether this instance would lead if all reached the store.
+func (t *Table) Elder() bool {
+	elders := *t.elders.Load()
+	return slices.Contains(elders[:min(len(elders), Leaders)], t.opts.Name)
+}
+
 // LeaderSilence returns the time since one of the instances that lead was last
 // heard; 0 for an instance that leads itself.
 func (t *Table) LeaderSilence() time.Duration {
@@ -42,10 +48,13 @@
 	running := t.Running()
 	slices.SortStableFunc(running, func(a, b Instance) int { return cmp.Compare(b.Weight, a.Weight) })
 	order := make([]string, 0, len(running))
+	elders := make([]string, 0, len(running))
 	for i := range running {
+		elders = append(elders, running[i].Name)
 		if running[i].Ready && !running[i].StoreLost {
 			order = append(order, running[i].Name)
 		}
 	}
 	t.order.Store(&order)
+	t.elders.Store(&elders)
 }
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -98,16 +98,19 @@
 	opts  Options
 	mu    sync.Mutex
 	peers map[string]*peer // by name
-	// order holds the names of the instances that run and are ready, those that
-	// lead first. It is renewed with every round of datagrams.
-	order atomic.Pointer[[]string]
-	kick  chan struct{}
+	// order holds the names of the instances that run, are ready and reach the
+	// store, those that lead first; elders those of all that run, in the same
+	// order. They are renewed with every round of datagrams.
+	order  atomic.Pointer[[]string]
+	elders atomic.Pointer[[]string]
+	kick   chan struct{}
 }
 
 // New returns an empty table.
 func New(opts Options) *Table {
 	t := &Table{opts: opts, peers: map[string]*peer{}, kick: make(chan struct{}, 1)}
 	t.order.Store(&[]string{})
+	t.elders.Store(&[]string{opts.Name})
 	return t
 }
 
