--- a/internal/coordination/gateway/cascade_test.go
+++ b/internal/coordination/gateway/cascade_test.go
@@ -46,8 +46,10 @@
 func TestQueueLengthIsTheMeanOfFreshReports(t *testing.T) {
 	table := backends.NewTable()
 	table.Apply([]backends.Server{
-		{ID: "a", Serves: []string{"s"}}, {ID: "b", Serves: []string{"s"}},
-		{ID: "old", Serves: []string{"s"}}, {ID: "silent", Serves: []string{"s"}},
+		{ID: "a", Serves: []string{"s"}},
+		{ID: "b", Serves: []string{"s"}},
+		{ID: "old", Serves: []string{"s"}},
+		{ID: "silent", Serves: []string{"s"}},
 	})
 	now := time.Now()
 	table.Get("a").SetLoad(backends.Load{Waiting: 4, ReadAt: now})
