Let the instance of a crash test die before its record can be read

The harness marked the instance dead after its append had returned, while its own reader of the log could already send the booking. It is marked just before the append takes effect now; what the test asserts is unchanged. In one run of 400 repeats the race detector crashed in itself, as it does in TestBookingsUnderRandomFaults; this test runs on one processor too.

--- a/internal/coordination/claims/harness_test.go
+++ b/internal/coordination/claims/harness_test.go
@@ -103,6 +103,10 @@
 	}
 }
 
+// reachRecords is called for "after" just before the records take effect: what
+// takes effect still does, and the instance takes no step after it. Called later,
+// it would race with the instance's own reader of the log, which may already act
+// on the records.
 func (n *node) reachRecords(when string, raws []json.RawMessage) {
 	for _, raw := range raws {
 		var record records.Claim
@@ -115,21 +119,21 @@
 // Forward implements claims.Forwarder.
 func (n *node) Forward(ctx context.Context, address string, raws []json.RawMessage) error {
 	n.reachRecords("before", raws)
-	defer n.reachRecords("after", raws)
 	owner := n.fleet.find(address)
 	if owner == nil || n.dead.Load() {
 		return claims.ErrForward
 	}
+	n.reachRecords("after", raws)
 	return owner.owner.Accept(ctx, raws)
 }
 
 // Append implements eventlog.Log. What a dead instance appends is lost.
 func (n *node) Append(ctx context.Context, stream string, raws []json.RawMessage) (int64, error) {
 	n.reachRecords("before", raws)
-	defer n.reachRecords("after", raws)
 	if n.dead.Load() {
 		return 0, nil
 	}
+	n.reachRecords("after", raws)
 	return n.fleet.log.Append(ctx, stream, raws)
 }
 
--- a/internal/coordination/claims/schedule_test.go
+++ b/internal/coordination/claims/schedule_test.go
@@ -219,12 +219,17 @@
 	return true
 }
 
-// TestBookingsUnderRandomFaults runs on one processor at a time: with several,
-// the race detector of Go 1.26.8 crashed in its own stack depot in about one
-// run of two, while it started goroutines from timers of a bubble.
-func TestBookingsUnderRandomFaults(t *testing.T) {
+// oneProcessor runs a test on one processor at a time: with several, the race
+// detector of Go 1.26.8 crashes in its own stack depot while it starts goroutines
+// from timers of a bubble, in up to one run of two.
+func oneProcessor(t *testing.T) {
+	t.Helper()
 	processors := runtime.GOMAXPROCS(1)
 	t.Cleanup(func() { runtime.GOMAXPROCS(processors) })
+}
+
+func TestBookingsUnderRandomFaults(t *testing.T) {
+	oneProcessor(t)
 	generator := rapid.Custom(drawSchedule)
 	synctest.Test(t, func(t *testing.T) {
 		for seed := range scheduleCount {
@@ -237,6 +242,7 @@
 // TestCrashAtEveryPoint lets an instance die at each point of a booking, and
 // repeats the request through another.
 func TestCrashAtEveryPoint(t *testing.T) {
+	oneProcessor(t)
 	cases := []struct {
 		point  string
 		status bool
