Keep short prompts away from long ones, and tell peers of prompts not read yet

Cause: servers read prompts one after the other.

Now the time to read a prompt is learned per model, servers are divided between long and short prompts by the share of the work of each, and each instance tells the others in its datagrams what its servers have not read yet, at once where it is much.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
@@ -54,6 +55,9 @@
 	// Rank returns the place of this instance among those that may be running,
 	// in an order that depends on the key.
 	Rank func(key string) int
+	// Loaded is called when this instance has sent a server a prompt that others
+	// should not wait behind, so that its peers learn of it soon.
+	Loaded func()
 	// FailureDomain is that of this instance.
 	FailureDomain string
 	Upstream      Upstream
@@ -76,6 +80,7 @@
 	budgets retrybudget.Budgets
 	cold    *coldGate
 	usual   sync.Map // usualKey to *usualTime
+	prefill prefill.Estimators
 	closing closing
 }
 
--- a/internal/coordination/gateway/observe.go
+++ b/internal/coordination/gateway/observe.go
@@ -51,6 +51,7 @@
 	if a.verdict != deliver && a.verdict != serverFailed {
 		return
 	}
+	a.gateway.prefill.Observe(a.req.prompt(a.model), took, time.Now())
 	found, _ := a.gateway.usual.LoadOrStore(a.req.usualKey(a.model), &usualTime{})
 	timed, slow := found.(*usualTime).compare(took)
 	a.slow = slow
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -90,6 +90,7 @@
 }
 
 func (g *Gateway) routingRequest(req *request, service *routes.Service, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
+	estimate := g.estimate(req)
 	return &routing.Request{
 		Target:        req.service,
 		FailureDomain: g.FailureDomain,
@@ -98,6 +99,9 @@
 		Entries:       g.Instances(),
 		Exclude:       req.tried,
 		PrefixHash:    req.prefix,
+		Prefill:       estimate.Time,
+		LongPrompt:    estimate.Long,
+		LongShare:     estimate.LongShare,
 		DomainOut:     g.DomainOut,
 		Admit: func(server *backends.Snapshot) string {
 			switch {
--- a/internal/coordination/peers/exchange.go
+++ b/internal/coordination/peers/exchange.go
@@ -87,7 +87,7 @@
 // sendRound sends one datagram to each peer of a round. A failed send shows at
 // the peer as a lost datagram.
 func (t *Table) sendRound(conn net.PacketConn, round int) {
-	d := datagram{Instance: t.opts.Self(), Proof: t.opts.Proof()}
+	d := datagram{Instance: t.opts.Self(), News: t.opts.News(), Proof: t.opts.Proof()}
 	for _, to := range t.targets(round) {
 		d.Echo = Echo{Sent: boottime.Now(), Echoed: to.echo}
 		content, err := json.Marshal(&d)
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -57,9 +57,16 @@
 	StoreLost bool `json:"store_lost,omitempty"`
 	// Leaving is true once it has begun a planned stop.
 	Leaving bool `json:"leaving"`
+}
+
+// News is what an instance tells beside, for others to take over at once.
+type News struct {
 	// Applied gives for each topic that it follows the offset up to which it
 	// has taken all records.
 	Applied map[string]int64 `json:"applied,omitempty"`
+	// Prefill is the time in milliseconds that servers need for the prompts that
+	// it has sent them, by the IDs of the servers.
+	Prefill map[string]int64 `json:"prefill,omitempty"`
 	// Shares are its counts of the roll-outs that are open.
 	Shares []rollout.Share `json:"shares,omitempty"`
 	// Sightings are the sessions that it lately saw on an old version.
@@ -81,11 +88,13 @@
 	Name string
 	// Self returns what this instance says of itself.
 	Self func() Instance
+	// News returns what it tells beside.
+	News func() News
 	// Proof returns a proof of this instance's own making; nil if it has none
 	// for the peers.
 	Proof func() *Proof
-	// Hear takes what a peer says beside.
-	Hear func(heard *Instance)
+	// Hear takes what a peer tells beside.
+	Hear func(peer *Instance, news *News)
 	// Prove takes a proof of a peer: the configuration up to the offset was
 	// the newest at a moment that is not before at.
 	Prove func(end int64, at boottime.Instant)
@@ -138,7 +147,7 @@
 	if d.Name == "" || d.Name == t.opts.Name {
 		return
 	}
-	t.opts.Hear(&d.Instance)
+	t.opts.Hear(&d.Instance, &d.News)
 	if at, ok := d.provenAt(); ok {
 		t.opts.Prove(d.Proof.End, at)
 	}
@@ -151,7 +160,6 @@
 func (t *Table) store(d *datagram) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d.Shares, d.Sightings, d.PassedOn, d.Applied = nil, nil, nil, nil
 	old := t.peers[d.Name]
 	t.peers[d.Name] = &peer{instance: d.Instance, heardAt: t.opts.Now(), echo: d.Echo.Sent}
 	return old == nil || old.instance.StoreLost != d.StoreLost || old.instance.Ready != d.Ready
--- a/internal/coordination/peers/proof.go
+++ b/internal/coordination/peers/proof.go
@@ -30,6 +30,7 @@
 // datagram is what is sent to one peer.
 type datagram struct {
 	Instance
+	News
 	Echo Echo `json:"echo"`
 	// Proof is nil where the sender has none of its own.
 	Proof *Proof `json:"proof,omitempty"`
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -29,6 +29,12 @@
 	// PrefixHash identifies the leading part of the prompt, so that requests
 	// which share it meet the same prefix cache; 0 means none.
 	PrefixHash uint64
+	// Prefill is the expected time to read the prompt; 0 means none.
+	Prefill time.Duration
+	// LongPrompt is true for a prompt that shorter ones should not wait behind.
+	LongPrompt bool
+	// LongShare is the share, 0 to 1, of the servers that long prompts go to.
+	LongShare float64
 	// DomainOut reports whether operators have taken a failure domain out.
 	DomainOut func(failureDomain string) bool
 	// ColdBound returns how many calls this instance may have in flight to a
@@ -62,6 +68,9 @@
 	Score float64
 	// Affine is true where the prefix of the prompt belongs to the server.
 	Affine bool
+	// OtherGroup is true for a server that is meant for prompts of the other
+	// length.
+	OtherGroup bool
 	// Cold is true for a server that is not warm.
 	Cold bool
 	// Bound is the number of calls in flight that the call must be begun
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -228,3 +228,77 @@
 		}
 	})
 }
+
+// decideMany returns how often each server is chosen, by its place in the view.
+func decideMany(req *routing.Request, view backends.List, count int) map[int]int {
+	chosen := map[int]int{}
+	random := newRandom(5)
+	for range count {
+		chosen[routing.Decide(req, view, random).Chosen().Index]++
+	}
+	return chosen
+}
+
+// TestShortPromptsKeepAwayFromLongOnes: the servers are divided by the share of
+// the long prompts, and the two groups do not overlap.
+func TestShortPromptsKeepAwayFromLongOnes(t *testing.T) {
+	view := newList(9)
+	req := &routing.Request{Target: target, Now: start, Prefill: 20 * time.Millisecond, LongShare: 0.5}
+	short := decideMany(req, view, 2000)
+	req.LongPrompt, req.Prefill = true, time.Second
+	long := decideMany(req, view, 2000)
+	must.Eq(t, 9, len(short)+len(long))
+	for i := range long {
+		must.MapNotContainsKey(t, short, i)
+	}
+	must.Between(t, 4, len(long), 5)
+}
+
+// TestOverloadedGroupGivesWay: a group is preferred, not a wall.
+func TestOverloadedGroupGivesWay(t *testing.T) {
+	view := newList(9)
+	req := &routing.Request{Target: target, Now: start, Prefill: time.Second, LongPrompt: true, LongShare: 0.5}
+	long := decideMany(req, view, 2000)
+	for i := range long {
+		view[i].BeginPrefill(5 * time.Second)
+	}
+	for i := range decideMany(req, view, 200) {
+		must.MapNotContainsKey(t, long, i)
+	}
+}
+
+// TestPromptsBeforeOthersAreAvoided: a server with a long prompt before it is
+// not chosen while another is free, whoever sent it the prompt.
+func TestPromptsBeforeOthersAreAvoided(t *testing.T) {
+	table := backends.NewTable()
+	table.Apply([]backends.Server{{ID: "a", Serves: []string{target}}, {ID: "b", Serves: []string{target}}})
+	view := backends.List(table.Serving(target))
+	table.HearPrefill("peer", map[string]int64{"a": 3000})
+	req := &routing.Request{Target: target, Now: start, Prefill: 20 * time.Millisecond, LongShare: 0}
+	for i, count := range decideMany(req, view, 200) {
+		must.Eq(t, "b", view[i].Snapshot().Server.ID, must.Sprint(count))
+	}
+}
+
+// TestPrefixBelongsToServersThatMayTakeIt: a server that the filters drop holds
+// no prefix, so that requests which share one still meet.
+func TestPrefixBelongsToServersThatMayTakeIt(t *testing.T) {
+	view := newList(9)
+	for prefix := range uint64(50) {
+		req := &routing.Request{Target: target, Now: start, PrefixHash: prefix + 1}
+		req.Admit = func(server *backends.Snapshot) string {
+			if server.Server.ID < "engine-005" {
+				return "not admitted"
+			}
+			return ""
+		}
+		affine := 0
+		for _, candidate := range routing.Decide(req, view, newRandom(prefix)).Candidates {
+			if candidate.Affine {
+				must.Eq(t, "", candidate.Dropped)
+				affine++
+			}
+		}
+		must.Eq(t, 2, affine)
+	}
+}
--- a/internal/coordination/routing/sample.go
+++ b/internal/coordination/routing/sample.go
@@ -21,7 +21,7 @@
 		return nil
 	}
 	candidates := make([]Candidate, 0, min(count, maxCandidates))
-	first, second := affine(req.PrefixHash, view)
+	first, second := affine(req, view)
 	left := 0
 	add := func(i int) {
 		candidates = append(candidates, Candidate{Index: i, Server: view.Snapshot(i), Affine: i == first || i == second})
@@ -48,28 +48,42 @@
 	return candidates
 }
 
-// affine returns the two servers that a prefix belongs to by rendezvous
-// hashing (Thaler and Ravishankar, 1998), or -1 where there is none. A server
-// that leaves moves only its own prefixes.
-func affine(prefixHash uint64, view View) (first, second int) {
+// affine returns the two servers that the prefix belongs to by rendezvous
+// hashing (Thaler and Ravishankar, 1998) among those that may take the request,
+// or -1 where there is none. A server that leaves moves only its own prefixes.
+func affine(req *Request, view View) (first, second int) {
 	first, second = -1, -1
-	if prefixHash == 0 {
+	if req.PrefixHash == 0 {
 		return first, second
 	}
 	var highest, next uint64
 	for i := range view.Len() {
-		weight := mix(prefixHash ^ view.Hash(i))
+		weight := mix(req.PrefixHash ^ view.Hash(i))
+		// Few servers get as far as the filters.
+		if (second >= 0 && weight <= next) || !mayHold(req, view, i) {
+			continue
+		}
 		switch {
 		case first < 0 || weight > highest:
 			second, next = first, highest
 			first, highest = i, weight
-		case second < 0 || weight > next:
+		default:
 			second, next = i, weight
 		}
 	}
 	return first, second
 }
 
+// mayHold reports whether a server may take the request and is meant for prompts
+// of its length.
+func mayHold(req *Request, view View, i int) bool {
+	candidate := Candidate{Index: i, Server: view.Snapshot(i)}
+	if req.Prefill > 0 && !inGroup(req, candidate.Server.Position) {
+		return false
+	}
+	return filter(req, &candidate) == ""
+}
+
 // mix spreads the bits of a number (finalizer of SplitMix64: Steele, Lea and
 // Flood, 2014).
 func mix(x uint64) uint64 {
--- a/internal/coordination/routing/score.go
+++ b/internal/coordination/routing/score.go
@@ -21,6 +21,13 @@
 	// prefix cache, as a multiple of the mean (Mirrokni, Thorup and
 	// Zadimoghaddam, Consistent Hashing with Bounded Loads, 2018).
 	affinityLoadFactor = 1.25
+	// prefillUnit is the time of outstanding prompts that counts as one request
+	// in progress.
+	prefillUnit = 40 * time.Millisecond
+	// otherGroupPenalty is the score of a server that is meant for prompts of
+	// the other length, in requests in progress: as much as a prompt that takes
+	// most of a second, so that a group gives way only where it is overloaded.
+	otherGroupPenalty = 20.0
 	// badPenalty is the score of a server all of whose recent calls were bad, in
 	// requests in progress: more than the load of a busy server.
 	badPenalty = 40.0
@@ -52,6 +59,7 @@
 		load := candidate.Score
 		candidate.Score += scoreDomain(req, &candidate.Server)
 		candidate.Score += scoreDeadline(req, &candidate.Server)
+		candidate.Score += scorePrefill(req, candidate)
 		candidate.Score += badPenalty * candidate.Server.BadShare * candidate.Server.BadShare
 		candidate.Score -= scoreAffinity(candidate, load, bound)
 	}
@@ -94,3 +102,23 @@
 	}
 	return 0
 }
+
+// scorePrefill estimates the wait for prompts that the server reads before, and
+// keeps short prompts and long ones apart.
+func scorePrefill(req *Request, candidate *Candidate) float64 {
+	if req.Prefill <= 0 {
+		return 0
+	}
+	score := float64(candidate.Server.Prefill) / float64(prefillUnit)
+	candidate.OtherGroup = !inGroup(req, candidate.Server.Position)
+	if candidate.OtherGroup {
+		score += otherGroupPenalty
+	}
+	return score
+}
+
+// inGroup reports whether a server at the given place among those of its version
+// is meant for prompts of the request's length.
+func inGroup(req *Request, position float64) bool {
+	return (position < req.LongShare) == req.LongPrompt
+}
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -4,6 +4,8 @@
 package backends
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +72,9 @@
 	latency  time.Duration
 	failedAt time.Time
 	recent   recentCalls
+	prefill  outstanding
+	// position is the place of the server among those of its version, 0 to 1.
+	position float64
 	// inFlightAtLoad is inFlight when load was read.
 	inFlightAtLoad int
 	// hash of the ID never changes and is read without the lock.
@@ -93,6 +98,11 @@
 	// BadShare is the share of recent calls, 0 to 1, that failed or took far
 	// longer than usual, moderated while there are few.
 	BadShare float64
+	// Prefill is the time that the server needs for the prompts that it was sent
+	// and has not read yet, by this instance and by its peers as far as known.
+	Prefill time.Duration
+	// Position is the place of the server, 0 to 1, among those of its version.
+	Position float64
 	// InFlightAtLoad is InFlight at the moment Load was read.
 	InFlightAtLoad int
 }
@@ -104,6 +114,8 @@
 	defer b.mu.Unlock()
 	return Snapshot{
 		BadShare: b.recent.badShare(now),
+		Prefill:  b.prefill.own + b.prefill.elsewhere(now),
+		Position: b.position,
 		Server:   b.server,
 		Load:     b.load,
 		Warmth:   b.warmth,
@@ -194,7 +206,8 @@
 
 // Table holds all backend servers.
 type Table struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// byID is replaced as a whole.
 	byID     map[string]*Backend
 	place    Place
 	byTarget atomic.Pointer[map[string][]*Backend]
@@ -233,6 +246,7 @@
 		}
 	}
 	for target, all := range byTarget {
+		setPositions(all)
 		byTarget[target] = subset(all, t.place)
 	}
 	t.byID = byID
@@ -254,11 +268,12 @@
 
 // All returns all servers.
 func (t *Table) All() []*Backend {
+	return slices.Collect(maps.Values(t.index()))
+}
+
+// index returns the servers by their IDs. The map must not be changed.
+func (t *Table) index() map[string]*Backend {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]*Backend, 0, len(t.byID))
-	for _, backend := range t.byID {
-		all = append(all, backend)
-	}
-	return all
+	return t.byID
 }
--- /dev/null
+++ b/internal/state/backends/prefill_test.go
@@ -0,0 +1,56 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestOutstandingPromptsAreToldAndHeard(t *testing.T) {
+	sender, receiver := NewTable(), NewTable()
+	for _, table := range []*Table{sender, receiver} {
+		table.Apply(manyServers(3))
+	}
+	sender.Get("server-000").BeginPrefill(3 * time.Second)
+	sender.Get("server-001").BeginPrefill(leastTold / 2)
+	told := sender.Prefill()
+	must.Eq(t, map[string]int64{"server-000": 3000}, told)
+	receiver.HearPrefill("sender", told)
+	heard := receiver.Get("server-000").Snapshot().Prefill
+	must.Between(t, 2*time.Second, heard, 3*time.Second)
+	must.Zero(t, receiver.Get("server-001").Snapshot().Prefill)
+	sender.Get("server-000").EndPrefill(3 * time.Second)
+	receiver.HearPrefill("sender", sender.Prefill())
+	must.Zero(t, receiver.Get("server-000").Snapshot().Prefill)
+}
+
+// TestToldPromptsRunDown: a peer that falls silent must not make a server look
+// busy for ever.
+func TestToldPromptsRunDown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var o outstanding
+	o.peers = map[string]toldPrefill{"a": {left: time.Second, at: now}, "b": {left: 3 * time.Second, at: now}}
+	must.Eq(t, 4*time.Second, o.elsewhere(now))
+	must.Eq(t, time.Second, o.elsewhere(now.Add(2*time.Second)))
+	must.Zero(t, o.elsewhere(now.Add(time.Minute)))
+}
+
+// TestPositionsAreSpreadOverEachVersion: servers that leave take no place.
+func TestPositionsAreSpreadOverEachVersion(t *testing.T) {
+	servers := manyServers(6)
+	servers[0].Leaving = true
+	for i := 3; i < 6; i++ {
+		servers[i].Version = "v2"
+	}
+	table := NewTable()
+	table.Apply(servers)
+	byVersion := map[string]map[float64]bool{"": {}, "v2": {}}
+	for _, backend := range table.Serving("v") {
+		if snapshot := backend.Snapshot(); !snapshot.Server.Leaving {
+			byVersion[snapshot.Server.Version][snapshot.Position] = true
+		}
+	}
+	must.Eq(t, map[float64]bool{0.25: true, 0.75: true}, byVersion[""])
+	must.MapLen(t, 3, byVersion["v2"])
+}
