--- a/internal/coordination/keyedlog/follower.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -68,9 +69,12 @@
 	firstBackoff = 100 * time.Millisecond
 	// longestBackoff bounds that pause, so that contact is regained quickly.
 	longestBackoff = 400 * time.Millisecond
-	// patientBackoff is the bound for instances that can rely on others to find
-	// out, since every call has its price.
-	patientBackoff = 2 * time.Second
+	// patientPause is the mean pause of instances that can rely on others to find
+	// out, since every call has its price and many instances make many calls.
+	patientPause = 8 * time.Second
+	// pauseJitter is the part by which that pause varies, so that instances do
+	// not call at the same moment.
+	pauseJitter = 0.25
 	// lateAfter is the time over the wait of a read after which the store counts
 	// as lost, so that another instance leads: many times what an answer takes.
 	lateAfter = 400 * time.Millisecond
@@ -162,22 +166,26 @@
 			f.next = -1
 		default:
 			f.noteLoss(err)
-			f.rest(ctx, backoff)
-			backoff = min(2*backoff, f.longestBackoff())
+			f.rest(ctx, f.pauseAfterFailure(backoff))
+			backoff = min(2*backoff, longestBackoff)
 		}
 	}
 	return nil
 }
 
-func (f *Follower) longestBackoff() time.Duration {
-	if f.opts.Probes() {
-		return longestBackoff
+// pauseAfterFailure returns the pause after a failed call. Before the first read
+// nobody else can help.
+func (f *Follower) pauseAfterFailure(backoff time.Duration) time.Duration {
+	if f.opts.Probes() || f.next < 0 {
+		return backoff
 	}
-	return patientBackoff
+	return time.Duration((1 + pauseJitter*(2*rand.Float64()-1)) * float64(patientPause))
 }
 
-// rest waits after a failed call, and meanwhile takes what peers have taken.
+// rest waits after a failed call, and meanwhile takes what peers have taken. It
+// ends early where this instance has become one that finds out first.
 func (f *Follower) rest(ctx context.Context, wait time.Duration) {
+	began := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -186,23 +194,34 @@
 			return
 		case <-timer.C:
 			return
-		case address := <-f.ahead:
-			if f.next < 0 {
-				continue
-			}
-			if err := f.takeRelayed(ctx, address); err != nil {
-				f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records")
+		case <-f.wake:
+			if f.opts.Probes() && time.Since(began) >= longestBackoff {
+				return
 			}
+		case address := <-f.ahead:
+			f.takeWhileResting(ctx, address)
 		}
 	}
 }
 
+func (f *Follower) takeWhileResting(ctx context.Context, address string) {
+	if f.next < 0 {
+		return
+	}
+	if err := f.takeRelayed(ctx, address); err != nil {
+		f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records")
+	}
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	switch {
 	case f.next < 0:
 		return f.readNewest(ctx)
 	case f.opts.Leads():
 		return f.readStore(ctx, f.opts.Wait)
+	case f.lost.Load():
+		// Contact that was lost is regained by a read of its own.
+		return f.readStore(ctx, 0)
 	}
 	select {
 	case address := <-f.ahead:
--- a/internal/coordination/keyedlog/keyedlog_test.go
+++ b/internal/coordination/keyedlog/keyedlog_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -242,3 +244,51 @@
 	must.True(t, ok)
 	must.Len(t, 0, records)
 }
+
+// readsInOutage runs a follower through an outage of ten seconds and returns
+// the calls that it makes, and how many of them after it has become one of those
+// that find out first.
+func readsInOutage(t *testing.T, probes bool) (before, after int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		store.put("k", "1")
+		f := newFollower(store, &view{}, peersOf{}, true)
+		var elder atomic.Bool
+		elder.Store(probes)
+		f.opts.Probes = elder.Load
+		must.NoError(t, f.step(t.Context()))
+		store.fail(errors.New("down"))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		before = store.count()
+		elder.Store(true)
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			f.Rouse()
+		}
+		after = store.count() - before
+		cancel()
+		must.NoError(t, <-done)
+	})
+	return before, after
+}
+
+// TestFewInstancesAskAStoreThatIsAway: every call has its price, and those that
+// find out first tell the others. An instance that becomes one of them does not
+// wait out its long pause.
+func TestFewInstancesAskAStoreThatIsAway(t *testing.T) {
+	before, after := readsInOutage(t, false)
+	must.Between(t, 1, before, 2)
+	must.GreaterEq(t, 4, after)
+	before, _ = readsInOutage(t, true)
+	must.GreaterEq(t, 20, before)
+}
+
+func (s *fakeStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
--- a/internal/coordination/peers/lead.go
+++ b/internal/coordination/peers/lead.go
@@ -7,7 +7,7 @@
 )
 
 // Place returns the place of this instance in the order in which instances
-// lead; while it is not ready, the place after the last.
+// lead; the place after the last if it is not among them.
 func (t *Table) Place() int {
 	order := *t.order.Load()
 	if place := slices.Index(order, t.opts.Name); place >= 0 {
@@ -43,18 +43,29 @@
 }
 
 // renewOrder orders the instances that run, are ready, and reach the store as
-// far as they know.
+// far as they know. Where none is ready, as at the start of a fleet, any that
+// reaches the store may lead; where none reaches it, those that would.
 func (t *Table) renewOrder() {
 	running := t.Running()
 	slices.SortStableFunc(running, func(a, b Instance) int { return cmp.Compare(b.Weight, a.Weight) })
-	order := make([]string, 0, len(running))
-	elders := make([]string, 0, len(running))
-	for i := range running {
-		elders = append(elders, running[i].Name)
-		if running[i].Ready && !running[i].StoreLost {
-			order = append(order, running[i].Name)
-		}
+	elders := namesOf(running, func(*Instance) bool { return true })
+	order := namesOf(running, func(i *Instance) bool { return i.Ready && !i.StoreLost })
+	if len(order) == 0 {
+		order = namesOf(running, func(i *Instance) bool { return !i.Leaving && !i.StoreLost })
+	}
+	if len(order) == 0 {
+		order = elders
 	}
 	t.order.Store(&order)
 	t.elders.Store(&elders)
 }
+
+func namesOf(instances []Instance, chosen func(*Instance) bool) []string {
+	names := make([]string, 0, len(instances))
+	for i := range instances {
+		if chosen(&instances[i]) {
+			names = append(names, instances[i].Name)
+		}
+	}
+	return names
+}
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -194,3 +195,44 @@
 	c.change(func() { c.skew += 1500 * time.Millisecond })
 	eventually(t, func() bool { return c.table.LeaderSilence() > time.Second || c.table.Place() < peers.Leaders })
 }
+
+// TestFewLeadWhereNoneIsReady: at the start of a fleet, and while the store
+// answers nobody, not all instances may read at once.
+func TestFewLeadWhereNoneIsReady(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	nodes := map[string]*node{}
+	for _, name := range names {
+		nodes[name] = startNode(t, name)
+		nodes[name].change(func() { nodes[name].self.Ready = false })
+	}
+	for _, name := range names[1:] {
+		nodes[name].table.Add(nodes["a"].own())
+		nodes["a"].table.Add(nodes[name].own())
+	}
+	nodes["b"].table.Add(nodes["c"].own())
+	nodes["b"].table.Add(nodes["d"].own())
+	nodes["c"].table.Add(nodes["d"].own())
+	places := func() []int {
+		var places []int
+		for _, name := range names {
+			places = append(places, nodes[name].table.Place())
+		}
+		return places
+	}
+	eventually(t, func() bool { return slices.Equal(places(), []int{0, 1, 2, 3}) })
+	for _, name := range names {
+		nodes[name].change(func() { nodes[name].self.StoreLost = true })
+		nodes[name].table.Kick()
+	}
+	eventually(t, func() bool {
+		lost := 0
+		for _, name := range names {
+			for _, i := range nodes[name].table.Running() {
+				if i.StoreLost {
+					lost++
+				}
+			}
+		}
+		return lost == len(names)*len(names) && slices.Equal(places(), []int{0, 1, 2, 3})
+	})
+}
