Hold clients to the configured size of headers, and drop what nobody reads

From the last read of the platform path: the limit of a header's size was decoded and not used; a larger one now gets 431. Slots, cold time and prices of models of a service, the number of output tokens, the time limits of clients, and whether a connection was reused were decoded and read by nobody.

--- a/internal/coordination/gateway/codec.go
+++ b/internal/coordination/gateway/codec.go
@@ -29,10 +29,8 @@
 	// Prompt lists the parts of the prompt in order; the last belongs to the
 	// request itself or to its session.
 	Prompt []PromptPart
-	// PromptTokens and MaxOutputTokens give the size of a generation; 0 if
-	// unknown.
-	PromptTokens    int
-	MaxOutputTokens int
+	// PromptTokens is the length of the prompt; 0 if unknown.
+	PromptTokens int
 	// LastEventID is the event after which the client asks to go on.
 	LastEventID string
 	// Session names the session that the request belongs to; empty if none.
--- a/internal/coordination/gateway/refuse.go
+++ b/internal/coordination/gateway/refuse.go
@@ -32,6 +32,7 @@
 	refuseNoRoute         = refusal{http.StatusNotFound, "no_route", "no route leads here; check host and path", 0}
 	refuseKey             = refusal{http.StatusUnauthorized, "unknown_key", "the API key is missing or unknown; send a valid one", 0}
 	refuseTooLarge        = refusal{http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than the limit; send a smaller one", 0}
+	refuseHeader          = refusal{http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "the header is larger than the limit; send a smaller one", 0}
 	refuseBody            = refusal{http.StatusBadRequest, "body_unreadable", "the body could not be read; send it whole", 0}
 	refuseBodyTimeout     = refusal{http.StatusRequestTimeout, "body_timeout", "not run: the body did not arrive in time; send it again", 0}
 	refuseNoServer        = refusal{http.StatusServiceUnavailable, "no_server", "not run: no server may take the request now; come back soon", retrySoon}
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -92,6 +92,9 @@
 	if req.index == nil {
 		return req, &refuseNoConfiguration
 	}
+	if limit := req.index.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return req, &refuseHeader
+	}
 	if refused := g.authorize(req, configuration.ProvenAt); refused != nil {
 		return req, refused
 	}
@@ -127,6 +130,19 @@
 	return nil
 }
 
+// headerBytes is the size of the header of a request, without blanks that its
+// client may have added.
+func headerBytes(r *http.Request) int {
+	const separators = len(": ") + len("\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func hostName(host string) string {
 	name, _, _ := strings.Cut(host, ":")
 	return name
--- a/internal/protocol/routes/routes.go
+++ b/internal/protocol/routes/routes.go
@@ -74,16 +74,9 @@
 // Service is a group of backend servers that serve the same requests.
 type Service struct {
 	Name string
-	// Slots is the number of requests that a server runs at once; 0 if
-	// unknown.
-	Slots int
-	// ColdFor is how long a server is cold after its start.
-	ColdFor time.Duration
 	// ColdPerSecond is the number of requests a second that a cold server
 	// bears from all instances together; 0 means no bound.
 	ColdPerSecond float64
-	// ModelCosts gives the price of each model per thousand generated tokens.
-	ModelCosts map[string]float64
 }
 
 // Account is a client account.
@@ -97,10 +90,8 @@
 // Limits bounds what a client may send. A zero field means no bound of its
 // own.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Table is one version of the routing configuration.
--- a/internal/transport/httpconn/raw.go
+++ b/internal/transport/httpconn/raw.go
@@ -29,13 +29,11 @@
 type Exchange struct {
 	// Response is the header of the response; its body is read through Read.
 	Response *http.Response
-	// Reused is true if the connection had carried a request before.
-	Reused  bool
-	pool    *Pool
-	conn    *conn
-	stop    func() bool
-	written <-chan error
-	end     bool
+	pool     *Pool
+	conn     *conn
+	stop     func() bool
+	written  <-chan error
+	end      bool
 }
 
 // asyncBodyBytes is the size in bytes from which a body is written beside the
@@ -65,6 +63,18 @@
 	return p.rawRoundTrip(ctx, c, req)
 }
 
+// Fetch sends a request to address and returns the status and the whole body of
+// the response, of which it reads maxBody bytes at most.
+func (p *Pool) Fetch(ctx context.Context, address string, req RawRequest, reuse Reuse, maxBody int64) (int, []byte, error) {
+	x, err := p.Exchange(ctx, address, req, reuse)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer x.Close()
+	body, err := io.ReadAll(io.LimitReader(x, maxBody))
+	return x.Response.StatusCode, body, err
+}
+
 // takeLive returns an unused connection on which nothing has arrived since its
 // last response. What arrives unasked belongs to no request.
 func (p *Pool) takeLive(address string) *conn {
@@ -99,7 +109,7 @@
 
 // rawRoundTrip closes the connection where it fails.
 func (p *Pool) rawRoundTrip(ctx context.Context, c *conn, req RawRequest) (*Exchange, error) {
-	x := &Exchange{pool: p, conn: c, Reused: c.usedBefore}
+	x := &Exchange{pool: p, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	err := x.writeAndRead(req)
 	if err == nil {
--- a/internal/transport/logrelay/logrelay.go
+++ b/internal/transport/logrelay/logrelay.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -61,17 +60,13 @@
 	defer cancel()
 	query := url.Values{"topic": {topic}, "from": {strconv.FormatInt(from, 10)}}
 	head := "GET " + path + "?" + query.Encode() + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"
-	x, err := c.Pool.Exchange(ctx, address, httpconn.RawRequest{Method: http.MethodGet, Head: []byte(head)}, httpconn.ReuseIdle)
+	req := httpconn.RawRequest{Method: http.MethodGet, Head: []byte(head)}
+	status, body, err := c.Pool.Fetch(ctx, address, req, httpconn.ReuseIdle, maxAnswer)
 	if err != nil {
 		return nil, err
 	}
-	defer x.Close()
-	body, err := io.ReadAll(io.LimitReader(x, maxAnswer))
-	if err != nil {
-		return nil, err
-	}
-	if x.Response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w (status %d)", keyedlog.ErrNotKept, x.Response.StatusCode)
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("%w (status %d)", keyedlog.ErrNotKept, status)
 	}
 	var page keyedlog.RelayedPage
 	if err := json.Unmarshal(body, &page); err != nil {
