Ask the store at once where no peer has the records

Ruled out: the store (reachable for it again), the peers' datagrams (each told that it is ahead).

The pause ends where a peer is ahead and can't pass on the records. The test fails without it.

--- a/internal/coordination/keyedlog/follower.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -183,11 +183,13 @@
 }
 
 // rest waits after a failed call, and meanwhile takes what peers have taken. It
-// ends early where this instance has become one that finds out first.
+// ends early where nobody else helps: this instance has become one that finds
+// out first, or a peer is ahead and does not have the records any more.
 func (f *Follower) rest(ctx context.Context, wait time.Duration) {
 	began := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	alone := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -195,22 +197,26 @@
 		case <-timer.C:
 			return
 		case <-f.wake:
-			if f.opts.Probes() && time.Since(began) >= longestBackoff {
-				return
-			}
+			alone = alone || f.opts.Probes()
 		case address := <-f.ahead:
-			f.takeWhileResting(ctx, address)
+			alone = !f.takeWhileResting(ctx, address) || alone
+		}
+		if alone && time.Since(began) >= longestBackoff {
+			return
 		}
 	}
 }
 
-func (f *Follower) takeWhileResting(ctx context.Context, address string) {
+// takeWhileResting reports whether a peer that is ahead passed on its records.
+func (f *Follower) takeWhileResting(ctx context.Context, address string) bool {
 	if f.next < 0 {
-		return
+		return false
 	}
-	if err := f.takeRelayed(ctx, address); err != nil {
+	err := f.takeRelayed(ctx, address)
+	if err != nil {
 		f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records")
 	}
+	return err == nil
 }
 
 func (f *Follower) step(ctx context.Context) error {
--- a/internal/coordination/keyedlog/keyedlog_test.go
+++ b/internal/coordination/keyedlog/keyedlog_test.go
@@ -292,3 +292,31 @@
 	defer s.mu.Unlock()
 	return s.reads
 }
+
+// TestStoreIsAskedSoonWhereNoPeerHasTheRecords: an instance that was cut off
+// while its peers began anew must not wait out its long pause.
+func TestStoreIsAskedSoonWhereNoPeerHasTheRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, leader, other, _ := pair(t)
+		store.fail(errors.New("cut off"))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- other.Run(ctx) }()
+		// A peer that can't be reached makes it ask the store, which fails.
+		other.Compare(2, "nobody")
+		time.Sleep(2 * time.Second)
+		store.fail(nil)
+		store.put("k", "2")
+		store.compact()
+		must.ErrorIs(t, leader.step(t.Context()), ErrExpired)
+		leader.next = -1
+		must.NoError(t, leader.step(t.Context()))
+		for range 3 {
+			other.Compare(leader.Applied(), "leader")
+			time.Sleep(400 * time.Millisecond)
+		}
+		must.Eq(t, leader.Applied(), other.Applied())
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
