Log what becomes of weak answers, and split two files that grew

An answer of low confidence that was dropped, or given for want of repeats, had no line of its own; answer_weak names confidence, queue and decision. Attempts that fail also tell what the chosen server had still to read. The cascade's use of the budget moves to cascade.go, pauses of a follower to rest.go; behavior is unchanged.

--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -1,6 +1,13 @@
 package gateway
 
-import "medlarslip/internal/protocol/routes"
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"medlarslip/internal/protocol/routes"
+)
 
 const (
 	// enoughConfidence is the confidence, 0 to 100, from which the answer of a
@@ -45,3 +52,28 @@
 
 // advance moves on to the strongest model.
 func (p *cascadePlan) advance() { p.step = len(p.models) - 1 }
+
+// dropWeak drops the answer of a smaller model in favor of a stronger one, if
+// its confidence is low and the budget allows another run.
+func (g *Gateway) dropWeak(ctx context.Context, req *request, a *attempt) bool {
+	queue := g.queueLength(req.service, time.Now())
+	if !req.plan.weak(a.reply.Confidence, queue) || !req.attemptsLeft() || ctx.Err() != nil {
+		return false
+	}
+	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
+		g.logWeak(req, a, queue, "weak answer is given: no repeats are left in the budget")
+		return false
+	}
+	g.logWeak(req, a, queue, "weak answer is dropped for that of a stronger model")
+	a.close()
+	req.plan.advance()
+	return true
+}
+
+// logWeak logs what becomes of an answer of low confidence, and why.
+func (g *Gateway) logWeak(req *request, a *attempt, queue float64, decision string) {
+	g.Log.WithFields(logrus.Fields{
+		"event": "answer_weak", "request_id": req.call.ID, "server": a.server(), "model": a.model,
+		"confidence": a.reply.Confidence, "queue": queue, "sent": req.sent,
+	}).Info(decision)
+}
--- a/internal/coordination/gateway/observe.go
+++ b/internal/coordination/gateway/observe.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/protocol/routes"
 )
 
 const (
@@ -28,6 +29,27 @@
 	count int
 }
 
+// usualKey names the attempts whose times are compared.
+type usualKey struct {
+	service, model string
+	kind           routes.Kind
+	size           int
+}
+
+// sizeClass groups prompts whose lengths are alike.
+func sizeClass(tokens int) int {
+	class := 0
+	for tokens > 256 {
+		tokens /= 4
+		class++
+	}
+	return class
+}
+
+func (r *request) usualKey(model string) usualKey {
+	return usualKey{service: r.service, model: model, kind: r.route.Kind, size: sizeClass(r.call.PromptTokens)}
+}
+
 // compare notes a time and reports whether it could be compared with those
 // before it, and whether it was slow.
 func (u *usualTime) compare(took time.Duration) (timed, slow bool) {
@@ -72,7 +94,7 @@
 	entry := g.Log.WithFields(logrus.Fields{
 		"event": "attempt_ended", "request_id": a.req.call.ID, "server": a.server(), "service": a.req.service,
 		"version": server.Server.Version, "verdict": a.verdict.String(), "status": a.reply.Status,
-		"took_ms": took.Milliseconds(), "in_flight": server.InFlight, "sent": a.req.sent,
+		"took_ms": took.Milliseconds(), "in_flight": server.InFlight, "prefill_ms": server.Prefill.Milliseconds(), "sent": a.req.sent,
 	})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -72,20 +72,6 @@
 	return r.route.MaxAttempts <= 0 || r.sent < r.route.MaxAttempts
 }
 
-// dropWeak drops the answer of a smaller model in favor of a stronger one, if
-// its confidence is low and the budget allows another run.
-func (g *Gateway) dropWeak(ctx context.Context, req *request, a *attempt) bool {
-	if !req.plan.weak(a.reply.Confidence, g.queueLength(req.service, time.Now())) || !req.attemptsLeft() || ctx.Err() != nil {
-		return false
-	}
-	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
-		return false
-	}
-	a.close()
-	req.plan.advance()
-	return true
-}
-
 // note adds an attempt to the account of the request.
 func (e *end) note(a *attempt) {
 	e.verdicts = append(e.verdicts, a.verdict.String())
@@ -292,24 +278,3 @@
 	a.cancel()
 	a.settle()
 }
-
-// usualKey names the attempts whose times are compared.
-type usualKey struct {
-	service, model string
-	kind           routes.Kind
-	size           int
-}
-
-// sizeClass groups prompts whose lengths are alike.
-func sizeClass(tokens int) int {
-	class := 0
-	for tokens > 256 {
-		tokens /= 4
-		class++
-	}
-	return class
-}
-
-func (r *request) usualKey(model string) usualKey {
-	return usualKey{service: r.service, model: model, kind: r.route.Kind, size: sizeClass(r.call.PromptTokens)}
-}
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -306,7 +306,7 @@
 		fields["status"] = e.status
 	}
 	if e.model != "" {
-		fields["model"], fields["version"] = e.model, e.version
+		fields["model"], fields["version"], fields["prompt_tokens"] = e.model, e.version, req.call.PromptTokens
 	}
 	if req.call.Session != "" {
 		fields["session"] = req.call.Session
--- /dev/null
+++ b/internal/coordination/keyedlog/rest.go
@@ -0,0 +1,66 @@
+package keyedlog
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// firstBackoff is the pause after a failed call of the store.
+	firstBackoff = 100 * time.Millisecond
+	// longestBackoff bounds that pause, so that contact is regained quickly.
+	longestBackoff = 400 * time.Millisecond
+	// patientPause is the mean pause of instances that can rely on others to find
+	// out, since every call has its price and many instances make many calls.
+	patientPause = 8 * time.Second
+	// pauseJitter is the part by which that pause varies, so that instances do
+	// not call at the same moment.
+	pauseJitter = 0.25
+)
+
+// pauseAfterFailure returns the pause after a failed call. Before the first read
+// nobody else can help.
+func (f *Follower) pauseAfterFailure(backoff time.Duration) time.Duration {
+	if f.opts.Probes() || f.next < 0 {
+		return backoff
+	}
+	return time.Duration((1 + pauseJitter*(2*rand.Float64()-1)) * float64(patientPause))
+}
+
+// rest waits after a failed call, and meanwhile takes what peers have taken. It
+// ends early where nobody else helps: this instance has become one that finds
+// out first, or a peer is ahead and does not have the records any more.
+func (f *Follower) rest(ctx context.Context, wait time.Duration) {
+	began := time.Now()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	alone := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-f.wake:
+			alone = alone || f.opts.Probes()
+		case address := <-f.ahead:
+			alone = !f.takeWhileResting(ctx, address) || alone
+		}
+		if alone && time.Since(began) >= longestBackoff {
+			return
+		}
+	}
+}
+
+// takeWhileResting reports whether a peer that is ahead passed on its records.
+func (f *Follower) takeWhileResting(ctx context.Context, address string) bool {
+	if f.next < 0 {
+		return false
+	}
+	err := f.takeRelayed(ctx, address)
+	if err != nil {
+		f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records")
+	}
+	return err == nil
+}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -302,3 +302,17 @@
 		must.Eq(t, 2, affine)
 	}
 }
+
+// BenchmarkDecide is one decision on a long prompt among 140 servers.
+func BenchmarkDecide(b *testing.B) {
+	view := newList(140)
+	random := newRandom(1)
+	prefix := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		prefix++
+		routing.Decide(&routing.Request{
+			Target: target, Now: start, Prefill: time.Second, LongPrompt: true, LongShare: 0.5, PrefixHash: prefix,
+		}, view, random)
+	}
+}
