Decide on a server with fewer allocations, and estimate a prompt once

The search for the homes of a prefix allocated a candidate for every server that it weighed, an estimate of the prompt was made when a server was chosen and again when it was sent to, and the place of a server on the ring hashed its ID anew under its lock. No effect on what is chosen.

--- a/internal/coordination/gateway/prefill.go
+++ b/internal/coordination/gateway/prefill.go
@@ -15,11 +15,10 @@
 // beginPrefill counts the prompt at the server that it goes to. The server has
 // read it when the header of its answer arrives; then the returned function is
 // to be called.
-func (g *Gateway) beginPrefill(req *request, choice *selection) (end func()) {
-	estimate := g.estimate(req)
-	choice.backend.BeginPrefill(estimate.Time)
-	if estimate.Long {
+func (g *Gateway) beginPrefill(choice *selection) (end func()) {
+	choice.backend.BeginPrefill(choice.prompt.Time)
+	if choice.prompt.Long {
 		g.Loaded()
 	}
-	return func() { choice.backend.EndPrefill(estimate.Time) }
+	return func() { choice.backend.EndPrefill(choice.prompt.Time) }
 }
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -150,7 +150,7 @@
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	req.tried = append(req.tried, a.server())
 	limit := time.AfterFunc(g.patience(req, a.began), a.giveUp)
-	endPrefill := g.beginPrefill(req, choice)
+	endPrefill := g.beginPrefill(choice)
 	var err error
 	a.answer, err = g.Upstream.Send(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID))
 	endPrefill()
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
@@ -28,6 +29,8 @@
 type selection struct {
 	backend  *backends.Backend
 	snapshot backends.Snapshot
+	// prompt is what was expected of the prompt when the server was chosen.
+	prompt prefill.Estimate
 }
 
 // choose finds a server for the next attempt and counts it there, or returns
@@ -69,9 +72,10 @@
 func (g *Gateway) chooseIn(req *request, stage staging.Stage, unconfirmed bool) *selection {
 	list := backends.List(g.Servers.Serving(req.service))
 	service := req.index.Service(req.service)
+	prompt := g.estimate(req)
 	for range maxPicks {
 		now := time.Now()
-		decision := routing.Decide(g.routingRequest(req, service, stage, unconfirmed, now), list, rand.New(random{}))
+		decision := routing.Decide(g.routingRequest(req, service, prompt, stage, unconfirmed, now), list, rand.New(random{}))
 		chosen := decision.Chosen()
 		if chosen == nil {
 			return nil
@@ -84,13 +88,12 @@
 			backend.Cancel()
 			continue
 		}
-		return &selection{backend: backend, snapshot: chosen.Server}
+		return &selection{backend: backend, snapshot: chosen.Server, prompt: prompt}
 	}
 	return nil
 }
 
-func (g *Gateway) routingRequest(req *request, service *routes.Service, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
-	estimate := g.estimate(req)
+func (g *Gateway) routingRequest(req *request, service *routes.Service, prompt prefill.Estimate, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
 	return &routing.Request{
 		Target:        req.service,
 		FailureDomain: g.FailureDomain,
@@ -99,9 +102,9 @@
 		Entries:       g.Instances(),
 		Exclude:       req.tried,
 		PrefixHash:    req.prefix,
-		Prefill:       estimate.Time,
-		LongPrompt:    estimate.Long,
-		LongShare:     estimate.LongShare,
+		Prefill:       prompt.Time,
+		LongPrompt:    prompt.Long,
+		LongShare:     prompt.LongShare,
 		DomainOut:     g.DomainOut,
 		Admit: func(server *backends.Snapshot) string {
 			switch {
--- a/internal/coordination/routing/sample.go
+++ b/internal/coordination/routing/sample.go
@@ -57,10 +57,11 @@
 		return first, second
 	}
 	var highest, next uint64
+	var candidate Candidate
 	for i := range view.Len() {
 		weight := mix(req.PrefixHash ^ view.Hash(i))
 		// Few servers get as far as the filters.
-		if (second >= 0 && weight <= next) || !mayHold(req, view, i) {
+		if (second >= 0 && weight <= next) || !mayHold(req, view, i, &candidate) {
 			continue
 		}
 		switch {
@@ -75,13 +76,13 @@
 }
 
 // mayHold reports whether a server may take the request and is meant for prompts
-// of its length.
-func mayHold(req *Request, view View, i int) bool {
-	candidate := Candidate{Index: i, Server: view.Snapshot(i)}
+// of its length. It works in the given candidate, so that none is allocated.
+func mayHold(req *Request, view View, i int, candidate *Candidate) bool {
+	*candidate = Candidate{Index: i, Server: view.Snapshot(i)}
 	if req.Prefill > 0 && !inGroup(req, candidate.Server.Position) {
 		return false
 	}
-	return filter(req, &candidate) == ""
+	return filter(req, candidate) == ""
 }
 
 // mix spreads the bits of a number (finalizer of SplitMix64: Steele, Lea and
--- a/internal/coordination/routing/score.go
+++ b/internal/coordination/routing/score.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		load := candidate.Score
+		candidate.OtherGroup = req.Prefill > 0 && !inGroup(req, candidate.Server.Position)
 		candidate.Score += scoreDomain(req, &candidate.Server)
 		candidate.Score += scoreDeadline(req, &candidate.Server)
 		candidate.Score += scorePrefill(req, candidate)
@@ -110,7 +111,6 @@
 		return 0
 	}
 	score := float64(candidate.Server.Prefill) / float64(prefillUnit)
-	candidate.OtherGroup = !inGroup(req, candidate.Server.Position)
 	if candidate.OtherGroup {
 		score += otherGroupPenalty
 	}
--- a/internal/state/backends/subset.go
+++ b/internal/state/backends/subset.go
@@ -41,7 +41,7 @@
 	if len(staying) <= subsetSize || place.Count == 0 {
 		return servers
 	}
-	slices.SortFunc(staying, func(a, b *Backend) int { return cmp.Compare(a.ringPosition(), b.ringPosition()) })
+	slices.SortFunc(staying, func(a, b *Backend) int { return cmp.Compare(a.hash, b.hash) })
 	start := place.Index * len(staying) / place.Count
 	chosen := make([]*Backend, 0, subsetSize)
 	for i := range subsetSize {
@@ -55,9 +55,3 @@
 	defer b.mu.Unlock()
 	return b.server.Leaving
 }
-
-func (b *Backend) ringPosition() uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return xxhash.Sum64String(b.server.ID)
-}
