Log the first event, the longest pause and the confidence of a stream

A late stream could not be told from a request that was answered late as a whole: took_ms is the time to the last event. The line request_ended now has what the latency objectives are judged by.

--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -101,6 +101,7 @@
 // first event, so that until then another server can be asked afresh.
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, req *request, a *attempt, e *end) {
 	s := &relayedStream{gateway: g, req: req, w: w, last: -1, lastSent: req.call.LastEventID}
+	defer func() { e.first, e.pause = s.first, s.pause }()
 	for {
 		err := s.pass(a)
 		if err == nil {
@@ -134,6 +135,12 @@
 	last int64
 	// lastSent is its ID as text, or what the client named.
 	lastSent string
+	// first is the time from the request to the first event.
+	first time.Duration
+	// sentAt is when the last event was passed on, and pause the longest time
+	// between two.
+	sentAt time.Time
+	pause  time.Duration
 }
 
 // streamSilence is the pause between events after which a server is taken to
@@ -184,12 +191,23 @@
 	if _, err := s.w.Write(ev.raw); err != nil {
 		return err
 	}
+	s.note(time.Now())
 	if ev.id >= 0 {
 		s.last, s.lastSent = ev.id, strconv.FormatInt(ev.id, 10)
 	}
 	return http.NewResponseController(s.w).Flush()
 }
 
+// note keeps the times by which the latency objectives of a stream are judged.
+func (s *relayedStream) note(now time.Time) {
+	if s.sentAt.IsZero() {
+		s.first = now.Sub(s.req.started)
+	} else {
+		s.pause = max(s.pause, now.Sub(s.sentAt))
+	}
+	s.sentAt = now
+}
+
 // resume asks another server of the same version to go on after the last event
 // that was passed on; before the first, to answer afresh.
 func (s *relayedStream) resume(ctx context.Context, a *attempt, version string, e *end) *attempt {
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -76,7 +76,7 @@
 func (e *end) note(a *attempt) {
 	e.verdicts = append(e.verdicts, a.verdict.String())
 	e.server, e.model, e.status = a.server(), a.model, a.reply.Status
-	e.version = a.choice.snapshot.Server.Version
+	e.version, e.confidence = a.choice.snapshot.Server.Version, a.reply.Confidence
 }
 
 // finish answers a request whose last attempt brought no answer to deliver.
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -277,6 +277,11 @@
 	// verdicts lists the ends of the attempts.
 	verdicts []string
 	resumed  int
+	// first is the time from the request to the first event of a stream, and
+	// pause the longest one between two events.
+	first, pause time.Duration
+	// confidence is what the server says of its answer, 0 to 100, or -1.
+	confidence int
 }
 
 func (g *Gateway) logRefusal(req *request, r *http.Request, refused *refusal) {
@@ -308,6 +313,12 @@
 	if e.model != "" {
 		fields["model"], fields["version"], fields["prompt_tokens"] = e.model, e.version, req.call.PromptTokens
 	}
+	if e.first > 0 {
+		fields["first_ms"], fields["pause_ms"] = e.first.Milliseconds(), e.pause.Milliseconds()
+	}
+	if e.model != "" && e.confidence >= 0 {
+		fields["confidence"] = e.confidence
+	}
 	if req.call.Session != "" {
 		fields["session"] = req.call.Session
 	}
