End silent clients by the limits of the configuration in force

The header of a request and the time between two were bounded by constants of the server (5 s, 75 s), looser than a configuration asks (3 s and 15 s on both sites) or, where it allows more than 5 s, tighter. A connection may now be silent for the idle time and the header time together, the limits being those in force when the wait begins; an instance that stood still reads first what arrived meanwhile. Counted as medlarslip_clients_timed_out_total.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -62,6 +62,11 @@
 	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Counter adds a count that is read when the metrics are served.
+func (r *Registry) Counter(name, help string, read func() float64) {
+	r.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
 // Handler serves the metrics.
 func (r *Registry) Handler() http.Handler {
 	return promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})
--- a/internal/protocol/routes/routes.go
+++ b/internal/protocol/routes/routes.go
@@ -92,6 +92,10 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTime is how long the header of a request may take.
+	HeaderTime time.Duration
+	// IdleTime is how long a connection may be unused before a request.
+	IdleTime time.Duration
 }
 
 // Table is one version of the routing configuration.
