Take a version over only once enough of its answers were seen

Cause: a version that is not worse was taken over at three quarters of its time also where nothing, or next to nothing, was known of it. Ruled out: counts lost between instances, servers seen late.

A version now needs 20 answers, and as many of the old version as the test needs or else mostly good answers of its own; until then the roll-out goes on. The price is a good roll-out of a service that is hardly used that does not end in time.

--- a/internal/coordination/rollout/detector.go
+++ b/internal/coordination/rollout/detector.go
@@ -37,6 +37,16 @@
 	return ""
 }
 
+// Enough reports whether so many answers were seen that a bad new version would
+// have been found worse. Where too few are known of the old one to compare with,
+// most answers of the new one must be good.
+func Enough(oldArm, newArm Counts) bool {
+	if newArm.Answers < minRecent {
+		return false
+	}
+	return oldArm.Answers >= minOld || 2*newArm.Failed < newArm.Answers
+}
+
 func (d *Detector) advance(oldArm, newArm Counts) {
 	var last uint64
 	if len(d.begins) > 0 {
--- a/internal/coordination/staging/decide.go
+++ b/internal/coordination/staging/decide.go
@@ -75,7 +75,7 @@
 	switch {
 	case s.worse != "":
 		return c.dueNow(s, RolledBack, s.worse), true
-	case !c.now().Before(decideAt) && serving(s.order.Service, s.order.Target) > 0:
+	case !c.now().Before(decideAt) && rollout.Enough(oldArm, newArm) && serving(s.order.Service, s.order.Target) > 0:
 		return c.dueNow(s, Succeeded, "not_worse"), true
 	case !announced:
 		return c.dueNow(s, Running, "ordered"), true
--- a/internal/coordination/staging/staging_test.go
+++ b/internal/coordination/staging/staging_test.go
@@ -174,6 +174,39 @@
 }
 
 // TestBadVersionIsRolledBack: the counts of any one instance would not do.
+// TestNoVersionSucceedsUnseen: a version is taken over only once enough of its
+// answers were seen to tell a bad one.
+func TestNoVersionSucceedsUnseen(t *testing.T) {
+	const within = 20 * time.Second
+	f := newFleet(3)
+	f.order(newOne, within)
+	f.controllers[0].SetStatus(staging.Status{Service: service, Target: newOne, State: staging.Running})
+	f.observe(oldOne, 40, false)
+	f.clock.advance(within)
+	f.exchange()
+	must.SliceEmpty(t, f.decide(0))
+	f.observe(newOne, 6, false)
+	f.exchange()
+	must.SliceEmpty(t, f.decide(0))
+	f.observe(newOne, 24, false)
+	f.exchange()
+	must.Eq(t, staging.Succeeded, f.decide(0)[0].Status.State)
+}
+
+// TestFailingVersionNeedsNoComparison: where too little was seen of the old
+// version to compare with, one that mostly fails is not taken over.
+func TestFailingVersionNeedsNoComparison(t *testing.T) {
+	const within = 20 * time.Second
+	f := newFleet(1)
+	f.order(newOne, within)
+	f.controllers[0].SetStatus(staging.Status{Service: service, Target: newOne, State: staging.Running})
+	f.observe(newOne, 60, true)
+	f.clock.advance(within)
+	must.SliceEmpty(t, f.decide(0))
+	f.observe(newOne, 70, false)
+	must.Eq(t, staging.Succeeded, f.decide(0)[0].Status.State)
+}
+
 func TestBadVersionIsRolledBack(t *testing.T) {
 	f := newFleet(3)
 	f.order(newOne, 20*time.Second)
