Stand in for clients of the platform, with a load

standin-clients asks the directory, sends requests of every kind at a given rate whether or not earlier ones are answered, repeats as the platform's clients may, compares each answer with what the stand-in for a server gives, and reports outcomes and times. scripts/run-platform.sh runs it for three seconds.

--- a/scripts/run-platform.sh
+++ b/scripts/run-platform.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 
 mkdir -p bin
-go build -o bin ./cmd/medlarslip-platform ./cmd/standin-metastore
+go build -o bin ./cmd/medlarslip-platform ./cmd/standin-metastore ./cmd/standin-clients
 rm -rf run
 mkdir -p run
 
@@ -60,8 +60,10 @@
 send bookings/1 -d "cylinder 7"
 send lookups/1
 send drafts/1 -H "Accept: text/event-stream" -H "X-Medlarslip-Model: *" -d "leak test notes"
+echo "== what became of 50 requests a second for 3 s"
+bin/standin-clients -directory 127.0.8.1:8224 -rate 50 -length 3s
 echo "== what entry-1 decided"
-grep -h '"request_ended"' run/entry-1.log || true
+grep -h '"request_ended"' run/entry-1.log | head -3 || true
 
 if [ "${1:-}" = "-once" ]; then
   exit 0
