Log requests that a planned stop cuts

Cause: a request that was under way when the time for a planned stop was over had no line: the process ended with its handlers. The test failed first: the outcome was client_gone where there was a line at all.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -81,12 +81,12 @@
 	cold    *coldGate
 	usual   sync.Map // usualKey to *usualTime
 	prefill prefill.Estimators
-	closing closing
+	closing *closing
 }
 
 var _ http.Handler = (*Gateway)(nil)
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	return &Gateway{Options: opts, cold: newColdGate()}
+	return &Gateway{Options: opts, cold: newColdGate(), closing: newClosing()}
 }
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -239,7 +239,7 @@
 	}
 	e.abort, e.outcome = true, "stream_broken"
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errRequestExpired) {
-		e.outcome = "client_gone"
+		e.outcome = cutOutcome(ctx)
 	}
 }
 
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -95,7 +95,7 @@
 	expired := errors.Is(context.Cause(ctx), errRequestExpired)
 	switch {
 	case ctx.Err() != nil && !expired:
-		e.outcome, e.abort = "client_gone", true
+		e.outcome, e.abort = cutOutcome(ctx), true
 		return *e
 	case !req.mayHaveRun && expired:
 		e.refused = &refuseLate
