--- a/internal/coordination/billing/keeper.go
+++ b/internal/coordination/billing/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/protocol/records"
 )
@@ -112,19 +113,11 @@
 // Run appends the bills of silent owners until ctx ends, and then all that it
 // holds, for an owner may have been lost a moment ago.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(keepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			k.TakeOver(ctx, takeOverAfter)
-		case <-ctx.Done():
-			last, cancel := context.WithTimeout(context.Background(), keepInterval)
-			defer cancel()
-			k.TakeOver(last, 0)
-			return nil
-		}
-	}
+	pause.Every(ctx, keepInterval, func() { k.TakeOver(ctx, takeOverAfter) })
+	last, cancel := context.WithTimeout(context.Background(), keepInterval)
+	defer cancel()
+	k.TakeOver(last, 0)
+	return nil
 }
 
 // TakeOver appends the bills of owners that have been silent for so long. An
--- a/internal/coordination/billing/mirror.go
+++ b/internal/coordination/billing/mirror.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/protocol/records"
 )
@@ -90,16 +91,8 @@
 // Run tells the holder that this instance lives, and finds another where it
 // does not answer or has left, until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			m.beat(ctx)
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	pause.Every(ctx, beatInterval, func() { m.beat(ctx) })
+	return nil
 }
 
 func (m *Mirror) beat(ctx context.Context) {
--- a/internal/coordination/claims/snapshot.go
+++ b/internal/coordination/claims/snapshot.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/protocol/records"
 )
@@ -29,16 +30,8 @@
 // Sweep appends claims of the own shards again before retention removes them,
 // and ends the window of old keys, until ctx ends.
 func (c *Coordinator) Sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			c.sweepAll(ctx)
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	pause.Every(ctx, sweepInterval, func() { c.sweepAll(ctx) })
+	return nil
 }
 
 func (c *Coordinator) sweepAll(ctx context.Context) {
--- a/internal/coordination/configuration/snapshot.go
+++ b/internal/coordination/configuration/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/coordination/eventlog"
+	"medlarslip/internal/pause"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/protocol/records"
 )
@@ -115,18 +116,12 @@
 
 // Run writes snapshots when they are due until ctx ends.
 func (s *Snapshotter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(snapshotCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			if s.follower.snapshot.isDue() {
-				s.write(ctx)
-			}
-		case <-ctx.Done():
-			return nil
+	pause.Every(ctx, snapshotCheck, func() {
+		if s.follower.snapshot.isDue() {
+			s.write(ctx)
 		}
-	}
+	})
+	return nil
 }
 
 // write appends one snapshot. Where that fails, or its effect is unknown, the
--- a/internal/coordination/overload/divider.go
+++ b/internal/coordination/overload/divider.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"medlarslip/internal/pause"
 )
 
 const (
@@ -76,16 +78,8 @@
 
 // Run refreshes the view until ctx ends.
 func (d *Divider) Run(ctx context.Context) error {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			d.Refresh()
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	pause.Every(ctx, refreshInterval, d.Refresh)
+	return nil
 }
 
 // Refresh looks at the entry instances.
