Count with exponential decay in one place

The shares of bad calls of a server and of long prompts of a service were the same two sums with the same decay, written twice.

--- a/internal/state/backends/recent.go
+++ b/internal/state/backends/recent.go
@@ -1,8 +1,9 @@
 package backends
 
 import (
-	"math"
 	"time"
+
+	"medlarslip/internal/state/decay"
 )
 
 const (
@@ -13,31 +14,13 @@
 	recentPrior = 2
 )
 
-// recentCalls counts calls with exponential decay.
-type recentCalls struct {
-	bad, all float64
-	at       time.Time
-}
+// recentCalls counts calls, the bad ones apart.
+type recentCalls struct{ counts decay.Counts }
 
-func (r *recentCalls) decay(now time.Time) {
-	if !r.at.IsZero() {
-		factor := math.Exp2(-float64(now.Sub(r.at)) / float64(recentHalfLife))
-		r.bad *= factor
-		r.all *= factor
-	}
-	r.at = now
-}
-
-func (r *recentCalls) add(now time.Time, bad bool) {
-	r.decay(now)
-	r.all++
-	if bad {
-		r.bad++
-	}
-}
+func (r *recentCalls) add(now time.Time, bad bool) { r.counts.Add(now, recentHalfLife, 1, bad) }
 
 // badShare returns the share of recent calls that were bad.
 func (r recentCalls) badShare(now time.Time) float64 {
-	r.decay(now)
-	return r.bad / (r.all + recentPrior)
+	r.counts.Decay(now, recentHalfLife)
+	return r.counts.Part / (r.counts.All + recentPrior)
 }
