Look at the queues only for answers that may be weak

Every delivered answer, also of a plain call, took a copy of the state of all servers of its service to learn the queue, which only lowers the confidence that is enough. An answer that is not weak without a queue is not weak with one.

--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -56,8 +56,12 @@
 // dropWeak drops the answer of a smaller model in favor of a stronger one, if
 // its confidence is low and the budget allows another run.
 func (g *Gateway) dropWeak(ctx context.Context, req *request, a *attempt) bool {
+	// Most answers are not weak with any queue, and need no look at the servers.
+	if !req.plan.weak(a.reply.Confidence, 0) || !req.attemptsLeft() || ctx.Err() != nil {
+		return false
+	}
 	queue := g.queueLength(req.service, time.Now())
-	if !req.plan.weak(a.reply.Confidence, queue) || !req.attemptsLeft() || ctx.Err() != nil {
+	if !req.plan.weak(a.reply.Confidence, queue) {
 		return false
 	}
 	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
