Let requests wait for the configuration of an instance that has just started

Reading the store from every instance at once would cost some 140 calls and still refuse what arrives in the first tenth.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,9 @@
 	Codec Codec
 	// Current returns the configuration in force.
 	Current func() Configuration
+	// Expected returns for how much longer a configuration that is missing, or a
+	// proof of it, is expected to come soon; 0 where it is not.
+	Expected func() time.Duration
 	// Bounds returns the bounds in force.
 	Bounds func() Bounds
 	// Servers lists the backend servers by the names of their services.
@@ -83,6 +87,8 @@
 	times   versionTimes
 	prefill prefill.Estimators
 	closing *closing
+	// waiting counts the requests that wait for the configuration.
+	waiting atomic.Int64
 }
 
 var _ http.Handler = (*Gateway)(nil)
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -23,7 +23,11 @@
 	account *routes.Account
 	http    *http.Request
 	body    []byte
-	started time.Time
+	// bodyRead is true once body is whole.
+	bodyRead bool
+	started  time.Time
+	// waited is how long the request waited for the configuration.
+	waited time.Duration
 	// expires is when the answer must have ended; zero for never.
 	expires time.Time
 	service string
@@ -84,21 +88,14 @@
 		return nil, &refusal{status: http.StatusBadRequest, cause: "bad_header", remedy: err.Error()}
 	}
 	req := &request{call: call, http: r, started: started}
-	if g.closing.refusing.Load() {
-		return req, &refuseLeaving
-	}
-	configuration := g.Current()
-	req.index = configuration.Index
-	if req.index == nil {
-		return req, &refuseNoConfiguration
-	}
-	if limit := req.index.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
-		return req, &refuseHeader
+	refused := g.findRoute(req)
+	if g.mayWait(refused) {
+		refused = g.awaitConfiguration(w, req, refused)
 	}
-	if refused := g.authorize(req, configuration.ProvenAt); refused != nil {
+	if refused != nil {
 		return req, refused
 	}
-	if refused := req.readBody(w); refused != nil {
+	if refused := req.readBody(w, req.index.Limits.BodyBytes); refused != nil {
 		return req, refused
 	}
 	req.setTimes()
@@ -106,6 +103,22 @@
 	return req, nil
 }
 
+// findRoute finds route and account in the configuration in force.
+func (g *Gateway) findRoute(req *request) *refusal {
+	if g.closing.refusing.Load() {
+		return &refuseLeaving
+	}
+	configuration := g.Current()
+	req.index = configuration.Index
+	if req.index == nil {
+		return &refuseNoConfiguration
+	}
+	if limit := req.index.Limits.HeaderBytes; limit > 0 && headerBytes(req.http) > limit {
+		return &refuseHeader
+	}
+	return g.authorize(req, configuration.ProvenAt)
+}
+
 // authorize finds route and account. The age of the configuration is taken
 // after the request has arrived, so that a key that was revoked long enough
 // before the client sent the request is never accepted.
@@ -165,13 +178,16 @@
 // is that of a slow client on a lossy link.
 const bodyTimeout = 10 * time.Second
 
-// readBody reads the whole body, so that the request can be repeated.
-func (r *request) readBody(w http.ResponseWriter) *refusal {
+// readBody reads the whole body, once, so that the request can be repeated. A
+// limit of 0 bytes sets no bound.
+func (r *request) readBody(w http.ResponseWriter, limit int64) *refusal {
+	if r.bodyRead {
+		return tooLarge(int64(len(r.body)), limit)
+	}
 	if r.http.Body == nil || r.http.Body == http.NoBody {
 		return nil
 	}
 	reader := io.Reader(r.http.Body)
-	limit := r.index.Limits.BodyBytes
 	if limit > 0 {
 		if r.http.ContentLength > limit {
 			r.discardBody(w)
@@ -184,10 +200,17 @@
 	_ = control.SetReadDeadline(r.started.Add(bodyTimeout))
 	body, err := readSized(reader, r.http.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
-	r.body = body
+	r.body, r.bodyRead = body, err == nil
 	return bodyRefusal(err)
 }
 
+func tooLarge(size, limit int64) *refusal {
+	if limit > 0 && size > limit {
+		return &refuseTooLarge
+	}
+	return nil
+}
+
 const (
 	// discardBytes and discardTime bound what is read of a body that is too
 	// large, so that its client can read the refusal: a connection that is
@@ -288,6 +311,7 @@
 	fields := logrus.Fields{"event": "request_refused", "cause": refused.cause, "status": refused.status, "path": rawPath(r)}
 	if req != nil {
 		fields["request_id"] = req.call.ID
+		req.logWait(fields)
 		if req.index != nil {
 			fields["configuration"] = req.index.Version
 		}
@@ -319,6 +343,7 @@
 	if e.model != "" && e.confidence >= 0 {
 		fields["confidence"] = e.confidence
 	}
+	req.logWait(fields)
 	if req.call.Session != "" {
 		fields["session"] = req.call.Session
 	}
