Learn which stronger model an answer needs, and whether it is worth its price

Difficulty does not depend on session, prefix, server (intraclass correlation -0.05, 0.00, 0.00) or size of the prompt, so no answer can be foreseen and the first model stays the smallest. Hypothesis: learn the gain of each model over each weaker one, by version, and ask the one where the probability of a good answer grows most beyond its price; a good answer is worth a setting's number of runs of the strongest model, half as much with each rank. Observations are not pooled over instances yet: each learns a pair in some ten requests.

--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -2,34 +2,43 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/coordination/escalation"
 	"medlarslip/internal/protocol/routes"
 )
 
-const (
-	// enoughConfidence is the confidence, 0 to 100, from which the answer of a
-	// smaller model is given: even odds that it is good enough.
-	enoughConfidence = 50
-	// fullQueue is the mean queue at the servers at which no answer is run
-	// again, since a stronger model would answer late and make others late.
-	fullQueue = 10.0
-)
+// fullQueue is the mean queue at the servers at which no answer is run again,
+// since a stronger model would answer late and make others late.
+const fullQueue = 10.0
 
-// cascadePlan chooses the models of one request, smallest first.
+// cascadePlan holds the models of one request, smallest first.
 type cascadePlan struct {
-	models []string
+	models []escalation.Model
 	step   int
-	fixed  string
+	// fixed is the model that the client named; empty if it named none.
+	fixed string
+	// weakStep and weakConfidence are of the answer that was dropped last;
+	// weakStep is -1 before.
+	weakStep, weakConfidence int
 }
 
-func newCascadePlan(route *routes.Route, call *Call) *cascadePlan {
-	if call.AnyModel && len(route.Models) > 0 {
-		return &cascadePlan{models: route.Models}
+func newCascadePlan(route *routes.Route, service *routes.Service, call *Call) *cascadePlan {
+	plan := &cascadePlan{fixed: call.Model, weakStep: -1}
+	if !call.AnyModel {
+		return plan
+	}
+	for _, name := range route.Models {
+		model := escalation.Model{Name: name}
+		if service != nil {
+			model.Cost = service.ModelCosts[name]
+		}
+		plan.models = append(plan.models, model)
 	}
-	return &cascadePlan{fixed: call.Model}
+	return plan
 }
 
 // model returns the model to run next; empty where none is named.
@@ -37,47 +46,78 @@
 	if len(p.models) == 0 {
 		return p.fixed
 	}
-	return p.models[p.step]
+	return p.models[p.step].Name
 }
 
 // last reports whether no stronger model is left.
 func (p *cascadePlan) last() bool { return p.step >= len(p.models)-1 }
 
-// weak reports whether an answer should be dropped for that of a stronger
-// model. The longer the queue at the servers, the more answers are given.
-func (p *cascadePlan) weak(confidence int, queue float64) bool {
-	enough := enoughConfidence * max(1-queue/fullQueue, 0)
-	return !p.last() && confidence >= 0 && float64(confidence) < enough
+// advance drops the answer of a model for that of another one.
+func (p *cascadePlan) advance(next, confidence int) {
+	p.weakStep, p.weakConfidence = p.step, confidence
+	p.step = next
 }
 
-// advance moves on to the strongest model.
-func (p *cascadePlan) advance() { p.step = len(p.models) - 1 }
+// answerValue returns what a good answer is worth, in runs of the strongest
+// model: half as much with each rank below the highest.
+func (g *Gateway) answerValue(route *routes.Route) float64 {
+	return g.AnswerValue * math.Exp2(-float64(route.Priority))
+}
 
 // dropWeak drops the answer of a smaller model in favor of a stronger one, if
-// its confidence is low and the budget allows another run.
+// that is worth its price and the budget allows another run.
 func (g *Gateway) dropWeak(ctx context.Context, req *request, a *attempt) bool {
-	// Most answers are not weak with any queue, and need no look at the servers.
-	if !req.plan.weak(a.reply.Confidence, 0) || !req.attemptsLeft() || ctx.Err() != nil {
+	g.learnConfidence(req, a)
+	if req.plan.last() || a.reply.Confidence < 0 || !req.attemptsLeft() || ctx.Err() != nil {
+		return false
+	}
+	question := g.escalationQuestion(req, a)
+	// Most answers are good enough with any queue, and need no look at the servers.
+	if g.escalation.Decide(&question, time.Now()).Next < 0 {
 		return false
 	}
 	queue := g.queueLength(req.service, time.Now())
-	if !req.plan.weak(a.reply.Confidence, queue) {
+	question.Delay = queue / fullQueue
+	advice := g.escalation.Decide(&question, time.Now())
+	if advice.Next < 0 {
 		return false
 	}
+	entry := g.Log.WithFields(logrus.Fields{
+		"event": "answer_weak", "request_id": req.call.ID, "server": a.server(), "model": a.model,
+		"confidence": a.reply.Confidence, "queue": queue, "sent": req.sent, "next": req.plan.models[advice.Next].Name,
+		"good": round(advice.Good), "expected": round(advice.Expected),
+	})
 	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, cascadeShare, g.Instances()) {
-		g.logWeak(req, a, queue, "weak answer is given: no repeats are left in the budget")
+		entry.Info("weak answer is given: no repeats are left in the budget")
 		return false
 	}
-	g.logWeak(req, a, queue, "weak answer is dropped for that of a stronger model")
+	entry.Info("weak answer is dropped for that of a stronger model")
 	a.close()
-	req.plan.advance()
+	req.plan.advance(advice.Next, a.reply.Confidence)
 	return true
 }
 
-// logWeak logs what becomes of an answer of low confidence, and why.
-func (g *Gateway) logWeak(req *request, a *attempt, queue float64, decision string) {
-	g.Log.WithFields(logrus.Fields{
-		"event": "answer_weak", "request_id": req.call.ID, "server": a.server(), "model": a.model,
-		"confidence": a.reply.Confidence, "queue": queue, "sent": req.sent,
-	}).Info(decision)
+func (g *Gateway) escalationQuestion(req *request, a *attempt) escalation.Question {
+	runs := len(req.plan.models)
+	if req.route.MaxAttempts > 0 {
+		runs = req.route.MaxAttempts - req.sent
+	}
+	return escalation.Question{
+		Service: req.service, Version: a.version(), Models: req.plan.models, At: req.plan.step,
+		Confidence: a.reply.Confidence, Value: g.answerValue(req.route), Runs: runs,
+	}
+}
+
+// learnConfidence learns how the confidence of a model compares with that of the
+// weaker one whose answer was dropped.
+func (g *Gateway) learnConfidence(req *request, a *attempt) {
+	if req.plan.weakStep < 0 || a.reply.Confidence < 0 {
+		return
+	}
+	pair := escalation.Pair{From: req.plan.weakStep, To: req.plan.step, Before: req.plan.weakConfidence, After: a.reply.Confidence}
+	g.escalation.Observe(req.service, a.version(), req.plan.models, pair, time.Now())
+	req.plan.weakStep = -1
 }
+
+// round keeps probabilities in the log short.
+func round(probability float64) float64 { return math.Round(100*probability) / 100 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/escalation"
 	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/staging"
@@ -62,6 +63,10 @@
 	// Loaded is called when this instance has sent a server a prompt that others
 	// should not wait behind, so that its peers learn of it soon.
 	Loaded func()
+	// AnswerValue is what a good answer to a request of the highest rank is worth,
+	// in runs of the strongest model that may answer it. It is half as much with
+	// each rank below.
+	AnswerValue float64
 	// FailureDomain is that of this instance.
 	FailureDomain string
 	Upstream      Upstream
@@ -86,7 +91,9 @@
 	usual   sync.Map // usualKey to *usualTime
 	times   versionTimes
 	prefill prefill.Estimators
-	closing *closing
+	// escalation learns what stronger models add.
+	escalation escalation.Learner
+	closing    *closing
 	// waiting counts the requests that wait for the configuration.
 	waiting atomic.Int64
 }
--- a/internal/coordination/gateway/keys.go
+++ b/internal/coordination/gateway/keys.go
@@ -11,10 +11,10 @@
 // setKeys derives what the request is placed by: its service, its session and
 // the shared part of its prompt.
 func (r *request) setKeys() {
-	r.plan = newCascadePlan(r.route, &r.call)
 	r.session = sessionHash(&r.call)
 	r.prefix = prefixHash(&r.call)
 	r.service = chooseTarget(r.route, r.session)
+	r.plan = newCascadePlan(r.route, r.index.Service(r.service), &r.call)
 }
 
 // sessionHash is the same for all requests of a session; a request without one
--- a/internal/protocol/routes/routes.go
+++ b/internal/protocol/routes/routes.go
@@ -77,6 +77,8 @@
 	// ColdPerSecond is the number of requests a second that a cold server
 	// bears from all instances together; 0 means no bound.
 	ColdPerSecond float64
+	// ModelCosts holds the price of the tokens of each model by its name.
+	ModelCosts map[string]float64
 }
 
 // Account is a client account.
--- a/internal/state/decay/decay.go
+++ b/internal/state/decay/decay.go
@@ -1,5 +1,5 @@
-// Package decay counts with exponential decay, so that what is long ago no
-// longer counts.
+// Package decay counts and averages with exponential decay, so that what is long
+// ago no longer counts.
 package decay
 
 import (
@@ -33,3 +33,35 @@
 		c.Part += weight
 	}
 }
+
+// Mean is a mean of values that forgets. The zero value is empty; a Mean is copied
+// freely and is not safe for concurrent use.
+type Mean struct {
+	weight, sum float64
+	at          time.Time
+}
+
+// Add returns the mean with one more value.
+func (m Mean) Add(now time.Time, halfLife time.Duration, value float64) Mean {
+	m = m.decayed(now, halfLife)
+	m.weight++
+	m.sum += value
+	return m
+}
+
+// Value returns the mean where an assumed value counts for the given number of
+// values.
+func (m Mean) Value(now time.Time, halfLife time.Duration, assumed, count float64) float64 {
+	m = m.decayed(now, halfLife)
+	return (m.sum + assumed*count) / (m.weight + count)
+}
+
+func (m Mean) decayed(now time.Time, halfLife time.Duration) Mean {
+	if !m.at.IsZero() {
+		factor := math.Exp2(-float64(now.Sub(m.at)) / float64(halfLife))
+		m.weight *= factor
+		m.sum *= factor
+	}
+	m.at = now
+	return m
+}
