Take slow answers as a version's only where they persist and are clearly slower

What arrives at a server behind a long prompt is late together; on the few servers of a canary one such convoy fills a window of fifty answers, which were taken for as many independent ones. Cold caches add a little to every time. Changes: a time counts as longer only from a quarter above the quantile; a latency halt needs each third of the answers of its span, of 3 s at least, to look slower. The decisions' log lines carry the counts of both versions.

--- a/internal/coordination/gateway/compare.go
+++ b/internal/coordination/gateway/compare.go
@@ -12,12 +12,17 @@
 
 const (
 	// slowQuantile is the quantile of the times of the versions that are not on
-	// trial above which an answer counts as slow. Both versions are counted by
+	// trial by which an answer counts as slow. Both versions are counted by
 	// the same one, so that what slows all servers makes neither look worse.
 	slowQuantile = 0.9
 	// middle is the quantile that half of the times are above. A version that is
 	// slower throughout, on servers with little load, shows there first.
 	middle = 0.5
+	// worseFactor is how much longer than the quantile a time must be. A version
+	// that is bad is slower by several times; the factor leaves out what a server
+	// that has just started, with empty caches and other neighbors, adds to its
+	// times throughout.
+	worseFactor = 1.25
 	// leastCompared is the number of times from which the quantile is used.
 	leastCompared = 12
 	// pacedEvents is the number of events of a stream after which its pace is
@@ -57,11 +62,12 @@
 
 // compareTime compares a time with that of versions which are not on trial.
 func (a *attempt) compareTime(usual *versionQuantiles, took time.Duration) {
-	if slow, known := usual.slow.Above(took, leastCompared); known {
+	compared := time.Duration(float64(took) / worseFactor)
+	if slow, known := usual.slow.Above(compared, leastCompared); known {
 		a.compared.timed = true
 		a.compared.slow = a.compared.slow || slow
 		// The pace, which is compared last, says more of a stream than its header.
-		a.compared.above, _ = usual.middle.Above(took, leastCompared)
+		a.compared.above, _ = usual.middle.Above(compared, leastCompared)
 	}
 	if !a.gateway.Staging.OnTrial(a.req.service, a.version()) {
 		usual.slow.Add(took)
--- a/internal/coordination/rollout/detector.go
+++ b/internal/coordination/rollout/detector.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "time"
+
 const (
 	// windowAnswers is the number of answers of the new version after which a
 	// new window begins.
@@ -15,41 +17,54 @@
 // use.
 type Detector struct {
 	begins []armCounts
+	marks  marks
 }
 
+// armCounts is what was counted up to a moment.
 type armCounts struct {
 	oldArm, newArm Counts
+	at             time.Time
 }
 
 // Worse names the first measure by which the new version is worse, or returns
 // the empty string. Counts must not shrink from call to call.
-func (d *Detector) Worse(oldArm, newArm Counts) string {
-	if cause := worse(oldArm, newArm, minNew, measures/falseHalt); cause != "" {
+func (d *Detector) Worse(oldArm, newArm Counts, at time.Time) string {
+	now := armCounts{oldArm: oldArm, newArm: newArm, at: at}
+	d.marks.add(now)
+	if cause := d.worseSince(armCounts{}, now, minNew, measures/falseHalt); cause != "" {
 		return cause
 	}
 	for _, begin := range d.begins {
-		cause := worse(oldArm.Since(begin.oldArm), newArm.Since(begin.newArm), minRecent, measures/recentFalseHalt)
-		if cause != "" {
+		if cause := d.worseSince(begin, now, minRecent, measures/recentFalseHalt); cause != "" {
 			return cause
 		}
 	}
-	d.advance(oldArm, newArm)
+	d.advance(now)
 	return ""
 }
 
-func (d *Detector) advance(oldArm, newArm Counts) {
+// worseSince tests what was counted since an earlier state.
+func (d *Detector) worseSince(begin, now armCounts, least uint64, threshold float64) string {
+	cause := worse(now.oldArm.Since(begin.oldArm), now.newArm.Since(begin.newArm), least, threshold)
+	if cause == CauseLatency && !d.marks.persistent(begin, now) {
+		return ""
+	}
+	return cause
+}
+
+func (d *Detector) advance(now armCounts) {
 	var last uint64
 	if len(d.begins) > 0 {
 		last = d.begins[len(d.begins)-1].newArm.Answers
 	}
-	if newArm.Answers >= last+windowAnswers {
-		d.Begin(oldArm, newArm)
+	if now.newArm.Answers >= last+windowAnswers {
+		d.Begin(now.oldArm, now.newArm, now.at)
 	}
 }
 
 // Begin starts a further window, because what the new version meets changes.
-func (d *Detector) Begin(oldArm, newArm Counts) {
-	d.begins = append(d.begins, armCounts{oldArm: oldArm, newArm: newArm})
+func (d *Detector) Begin(oldArm, newArm Counts, at time.Time) {
+	d.begins = append(d.begins, armCounts{oldArm: oldArm, newArm: newArm, at: at})
 	if len(d.begins) > windows {
 		d.begins = d.begins[1:]
 	}
--- a/internal/coordination/rollout/monitor.go
+++ b/internal/coordination/rollout/monitor.go
@@ -181,7 +181,7 @@
 func (d *sharedDetector) worse(m *Monitor, oldArm, newArm Arm) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.detector.Worse(m.pooled(oldArm), m.pooled(newArm))
+	return d.detector.Worse(m.pooled(oldArm), m.pooled(newArm), m.now())
 }
 
 func (m *Monitor) detector(id string) *sharedDetector {
--- a/internal/coordination/staging/decide.go
+++ b/internal/coordination/staging/decide.go
@@ -59,6 +59,8 @@
 	Reason string
 	// Due is when it became due.
 	Due time.Time
+	// Old and New are the counts that decided.
+	Old, New rollout.Counts
 }
 
 // Decide returns what should be agreed now. serving returns the number of
@@ -83,19 +85,19 @@
 func (c *Controller) decide(s *staged, announced bool, serving func(service, version string) int) (Decision, bool) {
 	oldArm, newArm := c.pool(s.order.Service, s.order.Target)
 	if s.worse == "" {
-		s.worse = s.detector.Worse(oldArm, newArm)
+		s.worse = s.detector.Worse(oldArm, newArm, c.now())
 	}
 	if s.loaded == nil && s.underLoad(c.now()) {
 		s.loaded = &newArm
-		s.detector.Begin(oldArm, newArm)
+		s.detector.Begin(oldArm, newArm, c.now())
 	}
 	switch {
 	case s.worse != "":
-		return c.dueNow(s, RolledBack, s.worse), true
+		return c.dueNow(s, RolledBack, s.worse, oldArm, newArm), true
 	case !c.now().Before(s.takeoverAt()) && s.sound(oldArm, newArm) && serving(s.order.Service, s.order.Target) > 0:
-		return c.dueNow(s, Succeeded, "not_worse"), true
+		return c.dueNow(s, Succeeded, "not_worse", oldArm, newArm), true
 	case !announced:
-		return c.dueNow(s, Running, "ordered"), true
+		return c.dueNow(s, Running, "ordered", oldArm, newArm), true
 	}
 	return Decision{}, false
 }
@@ -107,12 +109,12 @@
 }
 
 // dueNow returns a decision with the moment at which it first was due.
-func (c *Controller) dueNow(s *staged, state State, reason string) Decision {
+func (c *Controller) dueNow(s *staged, state State, reason string, oldArm, newArm rollout.Counts) Decision {
 	if s.due != state {
 		s.due, s.dueAt = state, c.now()
 	}
 	status := Status{Service: s.order.Service, Target: s.order.Target, State: state}
-	return Decision{Status: status, Reason: reason, Due: s.dueAt}
+	return Decision{Status: status, Reason: reason, Due: s.dueAt, Old: oldArm, New: newArm}
 }
 
 // pool sums the counts of all instances for the target and for the versions
--- a/internal/coordination/staging/decider.go
+++ b/internal/coordination/staging/decider.go
@@ -54,7 +54,7 @@
 	status := decision.Status
 	entry := d.Log.WithFields(logrus.Fields{
 		"event": "rollout_decided", "service": status.Service, "target": status.Target,
-		"state": status.State, "reason": decision.Reason,
+		"state": status.State, "reason": decision.Reason, "old": decision.Old, "new": decision.New,
 	})
 	if err := d.Agree(ctx, status); err != nil {
 		entry.WithError(err).Warn("status of a roll-out was not agreed yet")
--- a/internal/coordination/staging/power_test.go
+++ b/internal/coordination/staging/power_test.go
@@ -40,6 +40,9 @@
 	above     float64
 	underLoad bool
 	from      time.Duration
+	// convoys is true where servers are slow now and then, because prompts that take
+	// long to read arrive together: what follows at the same server waits.
+	convoys bool
 	// failing and late are the parts of the answers of both versions that are
 	// so for other reasons.
 	failing, late float64
@@ -67,8 +70,14 @@
 	random := rand.New(rand.NewPCG(seed, uint64(perSecond)))
 	var p played
 	bad, limitAt := 0, time.Duration(-1)
+	oldServers := convoys{random: random, servers: make([]time.Duration, int(perSecond/serverRate))}
+	newServers := convoys{random: random, servers: make([]time.Duration, max(int(perSecond/serverRate*allowedShare), 3))}
 	const step = 10 * time.Millisecond
 	for at := time.Duration(0); at < trialTime+badTime; at += step {
+		if b.convoys {
+			oldServers.advance(at, step)
+			newServers.advance(at, step)
+		}
 		for n := poisson(random, perSecond*step.Seconds()); n > 0; n-- {
 			c := f.controllers[random.IntN(instances)]
 			isNew := c.Stage(service, random.Uint64()).Admits(newOne)
@@ -77,8 +86,14 @@
 			if at < trialTime {
 				p.all++
 			}
+			if b.convoys && !isNew && oldServers.slow(at) {
+				o.Slow, o.Above = true, true
+			}
 			if isNew {
 				o.Version = newOne
+				if b.convoys && newServers.slow(at) {
+					o.Slow, o.Above = true, true
+				}
 				loaded := !b.underLoad || at >= atLoad
 				if loaded && at >= b.from && (random.Float64() < b.failed || random.Float64() < b.slow || b.above > 0) {
 					o.Failed, o.Slow = o.Failed || b.failed > 0, o.Slow || b.slow > 0
@@ -107,6 +122,35 @@
 	return p
 }
 
+// convoys are the servers of a version, each with the moment until which what
+// arrives there is slow.
+type convoys struct {
+	random  *rand.Rand
+	servers []time.Duration
+}
+
+const (
+	// serverRate is the number of requests a second that a server gets.
+	serverRate = 3
+	// convoyGap is the mean time between two convoys at a server, and convoyTime
+	// how long one lasts: some prompts of half a second each.
+	convoyGap  = 6 * time.Second
+	convoyTime = 1500 * time.Millisecond
+)
+
+func (c *convoys) advance(at, step time.Duration) {
+	for i := range c.servers {
+		if c.random.Float64() < step.Seconds()/convoyGap.Seconds() {
+			c.servers[i] = at + convoyTime
+		}
+	}
+}
+
+// slow reports whether a random server has a convoy.
+func (c *convoys) slow(at time.Duration) bool {
+	return at < c.servers[c.random.IntN(len(c.servers))]
+}
+
 // decide has the first instance agree what is due.
 func (p *played) decide(f *fleet, at time.Duration) {
 	for _, decision := range f.decide(0) {
@@ -138,6 +182,9 @@
 		// Model servers that were just started read prompts that others keep; plain
 		// services, which get the fewest requests, keep nothing.
 		{name: "good with cold caches", slow: 0.07, failing: 0.01, late: 0.05, succeeds: 0.5, leastRate: 50},
+		{name: "good beside convoys of long prompts", convoys: true, failing: 0.01, late: 0.05, succeeds: 0.5, leastRate: 50},
+		{name: "half are slow beside convoys", convoys: true, slow: 0.5, bad: true, failing: 0.01, late: 0.05, leastRate: 50},
+		{name: "all are slow beside convoys", convoys: true, slow: 1, bad: true, failing: 0.01, late: 0.05, leastRate: 50},
 		{name: "all fail", failed: 1, bad: true, failing: 0.01, late: 0.05},
 		{name: "two fifths fail", failed: 0.4, bad: true, failing: 0.01, late: 0.05},
 		{name: "a fifth fails", failed: 0.2, bad: true, failing: 0.01, late: 0.05},
