Tell clients of a service without servers to come back later and later

Change: the time to come back is half of the time for which the service has had no server, 0.15 to 5 s, spread by a quarter; it begins anew once there is one. The log says how many servers were passed over for which cause. Kept for the callers that do wait: shown by TestServiceInAnEvacuatedDomain. Whether such an order should be acknowledged with a warning: the store acknowledges it before any instance sees it, and the platform's status records are of roll-outs only; the log line and the refusals are what an operator sees.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -94,6 +94,8 @@
 	// escalation learns what stronger models add.
 	escalation escalation.Learner
 	closing    *closing
+	// shortages are of the services that have no server for requests.
+	shortages shortages
 	// waiting counts the requests that wait for the configuration.
 	waiting atomic.Int64
 }
--- /dev/null
+++ b/internal/coordination/gateway/noserver_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/protocol/routes"
+	"medlarslip/internal/state/backends"
+)
+
+// TestServiceInAnEvacuatedDomain: while all servers of a service stand in a failure
+// domain that is taken out, clients are told to come back later and later, and not
+// together; once one is back, soon.
+func TestServiceInAnEvacuatedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := backends.NewTable()
+		table.Apply([]backends.Server{
+			{ID: "a", Serves: []string{"s"}, FailureDomain: "x"}, {ID: "b", Serves: []string{"s"}, FailureDomain: "x", Leaving: true},
+		})
+		logger, logged := test.NewNullLogger()
+		logger.SetOutput(io.Discard)
+		evacuated := true
+		g := New(Options{
+			Servers: table, Log: logrus.NewEntry(logger), Instances: func() int { return 1 },
+			Staging:   staging.New(func() float64 { return 0 }, time.Now),
+			DomainOut: func(string) bool { return evacuated },
+		})
+		request := func() *request {
+			return &request{service: "s", index: routes.Compile(&routes.Table{}), route: &routes.Route{}, plan: &cascadePlan{}}
+		}
+		refused := func() time.Duration {
+			req := request()
+			must.Nil(t, g.choose(req, ""))
+			return g.noServer(req).retryAfter
+		}
+		must.LessEq(t, 2*retrySoon, refused())
+		must.Eq(t, map[string]int{routing.DroppedDomainOut: 1, routing.DroppedLeaving: 1}, logged.LastEntry().Data["passed_over"].(map[string]int))
+		time.Sleep(4 * time.Second)
+		different := map[time.Duration]bool{}
+		for range 20 {
+			wait := refused()
+			must.Between(t, 1500*time.Millisecond, wait, 2500*time.Millisecond)
+			different[wait] = true
+		}
+		must.Greater(t, 10, len(different))
+		time.Sleep(time.Minute)
+		must.Between(t, 3*time.Second, refused(), 7*time.Second)
+		evacuated = false
+		must.NotNil(t, g.choose(request(), ""))
+		evacuated = true
+		must.LessEq(t, 2*retrySoon, refused())
+	})
+}
--- a/internal/coordination/gateway/refuse.go
+++ b/internal/coordination/gateway/refuse.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"medlarslip/internal/state/backends"
 )
 
 // refusal is a final answer of the gateway's own.
@@ -44,29 +42,6 @@
 	refuseTimeout         = refusal{http.StatusGatewayTimeout, "timeout", "the request may have run, and its answer is late; check before it is repeated", 0}
 )
 
-// noServer refuses a request that no server may take now. Where all of them
-// have asked for rest, the client is told to come back after it.
-func (g *Gateway) noServer(req *request) *refusal {
-	refused := refuseNoServer
-	now := time.Now()
-	list := backends.List(g.Servers.Serving(req.service))
-	soonest := time.Duration(0)
-	for i := range list {
-		server := list.Snapshot(i)
-		if server.Server.Leaving || server.SaidLeaving {
-			continue
-		}
-		if !server.Rests(now) {
-			return &refused
-		}
-		if left := server.RestsUntil.Sub(now); soonest == 0 || left < soonest {
-			soonest = left
-		}
-	}
-	refused.retryAfter = max(soonest, refused.retryAfter)
-	return &refused
-}
-
 // write sends the refusal to the client.
 func (r *refusal) write(w http.ResponseWriter) {
 	header := w.Header()
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -49,6 +49,7 @@
 	found := g.chooseWithin(req, stage, version)
 	if found != nil {
 		found.stage = stage
+		g.shortages.end(req.service)
 	}
 	return found
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -101,3 +101,14 @@
 	scoreAll(req, candidates)
 	return Decision{InView: view.Len(), Candidates: candidates, Picked: pick(candidates, random)}
 }
+
+// Dropped counts the servers of a view by the filters that exclude them.
+func Dropped(req *Request, view View) map[string]int {
+	counts := map[string]int{}
+	for i := range view.Len() {
+		if dropped := filter(req, &Candidate{Index: i, Server: view.Snapshot(i)}); dropped != "" {
+			counts[dropped]++
+		}
+	}
+	return counts
+}
