--- a/internal/coordination/keyedlog/follower.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -36,7 +36,10 @@
 	// Changed is called when records were taken from the store, or contact with
 	// it was lost or regained.
 	Changed func()
-	Log     *logrus.Entry
+	// Regained is called when the store answers again after an outage; nil for
+	// nothing.
+	Regained func()
+	Log      *logrus.Entry
 }
 
 // Follower keeps a Reader up to date with one topic. Its methods but Run are
@@ -60,6 +63,8 @@
 	regainedAt atomic.Int64
 	// lost is true while the store does not answer.
 	lost atomic.Bool
+	// probes counts the reads since the store was lost.
+	probes int
 	// ahead holds the address of a peer that has taken more records.
 	ahead chan string
 	// wake ends a wait for peers.
@@ -167,11 +172,11 @@
 	switch {
 	case f.next < 0:
 		return f.begin(ctx)
-	case f.opts.Leads():
-		return f.readStore(ctx, f.opts.Wait)
 	case f.lost.Load():
 		// Contact that was lost is regained by a read of its own.
-		return f.readStore(ctx, 0)
+		return f.probe(ctx)
+	case f.opts.Leads():
+		return f.readStore(ctx, f.opts.Wait)
 	}
 	select {
 	case address := <-f.ahead:
@@ -307,11 +312,15 @@
 }
 
 func (f *Follower) noteContact() {
+	f.probes = 0
 	if !f.lost.Swap(false) {
 		return
 	}
 	f.regainedAt.Store(int64(boottime.Now()))
 	f.opts.Changed()
+	if f.opts.Regained != nil {
+		f.opts.Regained()
+	}
 	f.opts.Log.WithField("event", "store_regained").Info("store answers again")
 }
 
--- a/internal/coordination/keyedlog/rest.go
+++ b/internal/coordination/keyedlog/rest.go
@@ -11,6 +11,12 @@
 	firstBackoff = 100 * time.Millisecond
 	// longestBackoff bounds that pause, so that contact is regained quickly.
 	longestBackoff = 400 * time.Millisecond
+	// probeTimeout bounds the wait for the answer to a probe: many times what one
+	// takes. A call that was made while the store was away is never answered.
+	probeTimeout = 400 * time.Millisecond
+	// patientProbe is the number of probes of which one waits as long as any call,
+	// for a store that answers, but slowly.
+	patientProbe = 6
 	// patientPause is the mean pause of instances that can rely on others to find
 	// out, since every call has its price and many instances make many calls.
 	patientPause = 8 * time.Second
@@ -19,6 +25,17 @@
 	pauseJitter = 0.25
 )
 
+// probe finds out whether a store that was lost answers again.
+func (f *Follower) probe(ctx context.Context) error {
+	f.probes++
+	if f.probes%patientProbe == 0 {
+		return f.readStore(ctx, 0)
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return f.readStore(ctx, 0)
+}
+
 // pauseAfterFailure returns the pause after a failed call. Before the first read
 // nobody else can help.
 func (f *Follower) pauseAfterFailure(backoff time.Duration) time.Duration {
