--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -340,6 +340,9 @@
 	if e.first > 0 {
 		fields["first_ms"], fields["pause_ms"] = e.first.Milliseconds(), e.pause.Milliseconds()
 	}
+	if late := req.late(e, took); late != "" {
+		fields["late"] = late
+	}
 	if e.model != "" && e.confidence >= 0 {
 		fields["confidence"] = e.confidence
 	}
@@ -352,3 +355,21 @@
 	}
 	g.Log.WithFields(fields).Info("request ended")
 }
+
+// late names the latency objective that an answer has missed; empty if none.
+func (r *request) late(e *end, took time.Duration) string {
+	objective := r.route.Objective
+	switch {
+	case e.outcome != "answered" || objective <= 0:
+		return ""
+	case r.route.Kind != routes.Stream:
+		if took > objective {
+			return "answer"
+		}
+	case e.first > objective:
+		return "first_event"
+	case r.route.GapObjective > 0 && e.pause > r.route.GapObjective:
+		return "pause"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/losses/losses.go
@@ -0,0 +1,138 @@
+// Package losses tells from the logs of instances why requests were refused, ended
+// without an answer or were late, and when.
+package losses
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// record holds the fields of a log line that tell of a request.
+type record struct {
+	Event    string `json:"event"`
+	Time     string `json:"time"`
+	Cause    string `json:"cause"`
+	Outcome  string `json:"outcome"`
+	Route    string `json:"route"`
+	Attempts string `json:"attempts"`
+	Late     string `json:"late"`
+	WaitedMS int64  `json:"waited_ms"`
+}
+
+// cause is one reason with what it has cost.
+type cause struct {
+	name        string
+	count       int
+	first, last string
+	routes      map[string]int
+}
+
+// Report counts requests by what became of them.
+type Report struct {
+	// Requests counts all that ended or were refused, Answered those that were
+	// answered in time.
+	Requests, Answered int
+	causes             map[string]*cause
+}
+
+// maxLine bounds a line of a log in bytes.
+const maxLine = 1 << 20
+
+// Read adds the lines of a log. What stands before the JSON object of a line, as
+// a name of an instance, is passed over, and so are lines without one.
+func (r *Report) Read(log io.Reader) error {
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		line := lines.Bytes()
+		begin := bytes.IndexByte(line, '{')
+		if begin < 0 {
+			continue
+		}
+		var rec record
+		if json.Unmarshal(line[begin:], &rec) == nil {
+			r.add(&rec)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("log can't be read to its end: %w; split lines of more than %d bytes", err, maxLine)
+	}
+	return nil
+}
+
+func (r *Report) add(rec *record) {
+	name := ""
+	switch {
+	case rec.Event == "request_refused":
+		name = "refused: " + rec.Cause
+	case rec.Event != "request_ended":
+		return
+	case rec.Outcome != "answered":
+		name = "ended: " + rec.Outcome
+	case rec.Late != "":
+		name = "late: " + rec.Late + ", " + lateness(rec)
+	}
+	r.Requests++
+	if name == "" {
+		r.Answered++
+		return
+	}
+	if r.causes == nil {
+		r.causes = map[string]*cause{}
+	}
+	c := r.causes[name]
+	if c == nil {
+		c = &cause{name: name, first: rec.Time, routes: map[string]int{}}
+		r.causes[name] = c
+	}
+	c.count++
+	c.first, c.last = min(c.first, rec.Time), max(c.last, rec.Time)
+	c.routes[rec.Route]++
+}
+
+// lateness names what took the time of a late answer.
+func lateness(rec *record) string {
+	attempts := strings.Split(rec.Attempts, ",")
+	switch {
+	case rec.WaitedMS > 0:
+		return "waited for the configuration"
+	case slices.Contains(attempts, "unknown"), slices.Contains(attempts, "server_failed"):
+		return "after a server that failed"
+	case slices.Contains(attempts, "not_run"):
+		return "after a server that refused"
+	case slices.Contains(attempts, "weak"):
+		return "after a weak answer"
+	default:
+		return "at its first server"
+	}
+}
+
+// Write prints a line for each cause, the most frequent first.
+func (r *Report) Write(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%d requests, %d answered in time\n", r.Requests, r.Answered)
+	fmt.Fprintln(table, "requests\tshare\tcause\tfrom\tto\tmostly on")
+	for _, c := range slices.SortedFunc(maps.Values(r.causes), byCount) {
+		share := float64(c.count) / float64(max(r.Requests, 1))
+		fmt.Fprintf(table, "%d\t%.2f%%\t%s\t%s\t%s\t%s\n", c.count, 100*share, c.name, c.first, c.last, c.mostly())
+	}
+	return table.Flush()
+}
+
+func byCount(a, b *cause) int {
+	return cmp.Or(cmp.Compare(b.count, a.count), strings.Compare(a.name, b.name))
+}
+
+// mostly names the route with most of the requests; "-" where it was not found.
+func (c *cause) mostly() string {
+	route := slices.MaxFunc(slices.Sorted(maps.Keys(c.routes)), func(a, b string) int { return cmp.Compare(c.routes[a], c.routes[b]) })
+	return cmp.Or(route, "-")
+}
