--- a/internal/coordination/keyedlog/rest.go
+++ b/internal/coordination/keyedlog/backoff.go
@@ -45,10 +45,10 @@
 	return time.Duration((1 + pauseJitter*(2*rand.Float64()-1)) * float64(patientPause))
 }
 
-// rest waits after a failed call, and meanwhile takes what peers have taken. It
+// backOff waits after a failed call, and meanwhile takes what peers have taken. It
 // ends early where nobody else helps: this instance has become one that finds
 // out first, or a peer is ahead and does not have the records any more.
-func (f *Follower) rest(ctx context.Context, wait time.Duration) {
+func (f *Follower) backOff(ctx context.Context, wait time.Duration) {
 	began := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -62,7 +62,7 @@
 		case <-f.wake:
 			alone = alone || f.opts.Probes()
 		case address := <-f.ahead:
-			alone = !f.takeWhileResting(ctx, address) || alone
+			alone = !f.takeMeanwhile(ctx, address) || alone
 		}
 		if alone && time.Since(began) >= longestBackoff {
 			return
@@ -70,8 +70,8 @@
 	}
 }
 
-// takeWhileResting reports whether a peer that is ahead passed on its records.
-func (f *Follower) takeWhileResting(ctx context.Context, address string) bool {
+// takeMeanwhile reports whether a peer that is ahead passed on its records.
+func (f *Follower) takeMeanwhile(ctx context.Context, address string) bool {
 	err := f.takeFromPeer(ctx, address)
 	if err != nil {
 		f.opts.Log.WithError(err).WithField("event", "relay_failed").WithField("peer", address).Info("a peer did not pass on records")
--- a/internal/coordination/keyedlog/follower.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -19,6 +19,10 @@
 	// Leads reports whether this instance reads the topic at the store. The
 	// others take the records from a peer that has taken more.
 	Leads func() bool
+	// Backup reports whether another instance reads the topic before this one, which
+	// then reads at a slower pace, only to find out when that one fails; nil means
+	// never.
+	Backup func() bool
 	// Probes reports whether this instance is among those that find out first
 	// when the store answers again.
 	Probes func() bool
@@ -161,7 +165,7 @@
 			f.next = -1
 		default:
 			f.noteLoss(err)
-			f.rest(ctx, f.pauseAfterFailure(backoff))
+			f.backOff(ctx, f.pauseAfterFailure(backoff))
 			backoff = min(2*backoff, longestBackoff)
 		}
 	}
@@ -176,7 +180,7 @@
 		// Contact that was lost is regained by a read of its own.
 		return f.probe(ctx)
 	case f.opts.Leads():
-		return f.readStore(ctx, f.opts.Wait)
+		return f.readStore(ctx, f.slowed(f.opts.Wait))
 	}
 	select {
 	case address := <-f.ahead:
@@ -222,6 +226,17 @@
 	return nil
 }
 
+// backupFactor is by how much slower an instance reads that only stands by. What
+// the first one misses is still known within the time for a withdrawn server.
+const backupFactor = 2
+
+func (f *Follower) slowed(pace time.Duration) time.Duration {
+	if f.opts.Backup != nil && f.opts.Backup() {
+		return backupFactor * pace
+	}
+	return pace
+}
+
 // readStore makes one read at the store.
 func (f *Follower) readStore(ctx context.Context, wait time.Duration) error {
 	started := boottime.Now()
@@ -236,7 +251,7 @@
 	f.taken(p.Next, p.End, started)
 	if len(p.Records) > 0 {
 		f.opts.Changed()
-		pause.For(ctx, f.opts.Pace-boottime.Now().Since(started))
+		pause.For(ctx, f.slowed(f.opts.Pace)-boottime.Now().Since(started))
 	}
 	return nil
 }
--- a/internal/coordination/keyedlog/keyedlog_test.go
+++ b/internal/coordination/keyedlog/keyedlog_test.go
@@ -156,7 +156,7 @@
 		}
 		cancel()
 	}()
-	other.rest(ctx, time.Hour)
+	other.backOff(ctx, time.Hour)
 	must.Eq(t, "2", seen.values["k"])
 	must.True(t, other.Lost())
 }
@@ -336,3 +336,15 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// TestInstanceThatStandsByReadsLess: its waits and pauses are longer until it is
+// the first.
+func TestInstanceThatStandsByReadsLess(t *testing.T) {
+	f := newFollower(&fakeStore{}, &view{}, peersOf{}, true)
+	must.Eq(t, time.Second, f.slowed(time.Second))
+	standsBy := true
+	f.opts.Backup = func() bool { return standsBy }
+	must.Eq(t, backupFactor*time.Second, f.slowed(time.Second))
+	standsBy = false
+	must.Eq(t, time.Second, f.slowed(time.Second))
+}
