--- a/internal/coordination/gateway/compare.go
+++ b/internal/coordination/gateway/compare.go
@@ -30,7 +30,7 @@
 	pacedEvents = 4
 )
 
-// versionTimes holds what the versions that are not on trial take.
+// versionTimes holds what the baseline versions take.
 type versionTimes struct {
 	headers sync.Map // usualKey to *versionQuantiles
 	paces   sync.Map // paceKey to *versionQuantiles
@@ -60,7 +60,7 @@
 	events   int
 }
 
-// compareTime compares a time with that of versions which are not on trial.
+// compareTime compares a time with that of baseline versions.
 func (a *attempt) compareTime(usual *versionQuantiles, took time.Duration) {
 	compared := time.Duration(float64(took) / worseFactor)
 	if slow, known := usual.slow.Above(compared, leastCompared); known {
@@ -69,7 +69,7 @@
 		// The pace, which is compared last, says more of a stream than its header.
 		a.compared.above, _ = usual.middle.Above(compared, leastCompared)
 	}
-	if !a.gateway.Staging.OnTrial(a.req.service, a.version()) {
+	if !a.gateway.Staging.IsCanary(a.req.service, a.version()) {
 		usual.slow.Add(took)
 		usual.middle.Add(took)
 	}
@@ -83,7 +83,7 @@
 		a.compareTime(timesOf(&a.gateway.times.headers, a.req.usualKey(a.model)), took)
 	}
 	if a.verdict != deliver || a.req.route.Kind != routes.Stream {
-		a.tellVersion()
+		a.reportVersion()
 	}
 }
 
@@ -102,11 +102,11 @@
 	}
 	pace := now.Sub(a.compared.headerAt) / time.Duration(max(a.compared.events, 1))
 	a.compareTime(timesOf(&a.gateway.times.paces, paceKey{a.req.service, a.model}), pace)
-	a.tellVersion()
+	a.reportVersion()
 }
 
-// tellVersion tells the roll-out of the service how the answer went, once.
-func (a *attempt) tellVersion() {
+// reportVersion tells the roll-out of the service how the answer went, once.
+func (a *attempt) reportVersion() {
 	if a.compared.told {
 		return
 	}
--- a/internal/coordination/gateway/noserver.go
+++ b/internal/coordination/gateway/noserver.go
@@ -46,7 +46,7 @@
 	now := time.Now()
 	elapsed := now.Sub(g.shortages.begin(req.service, now))
 	refused.retryAfter = spread(max(retrySoon, min(time.Duration(retryPart*float64(elapsed)), longestRetryAfter)))
-	if wait, all := g.shortestRest(req.service, now); all {
+	if wait, all := g.shortestBackoff(req.service, now); all {
 		refused.retryAfter = max(refused.retryAfter, wait)
 	}
 	g.Log.WithFields(logrus.Fields{
@@ -60,19 +60,19 @@
 	return time.Duration((1 + retrySpread*(2*rand.Float64()-1)) * float64(wait))
 }
 
-// shortestRest returns the shortest time for which servers of the service want no
+// shortestBackoff returns the shortest time for which servers of the service want no
 // request, and whether all do that are not leaving.
-func (g *Gateway) shortestRest(service string, now time.Time) (shortest time.Duration, all bool) {
+func (g *Gateway) shortestBackoff(service string, now time.Time) (shortest time.Duration, all bool) {
 	list := backends.List(g.Servers.Serving(service))
 	for i := range list {
 		server := list.Snapshot(i)
-		if server.Server.Leaving || server.SaidLeaving {
+		if server.Server.Leaving || server.Draining {
 			continue
 		}
-		if !server.Rests(now) {
+		if !server.BacksOff(now) {
 			return 0, false
 		}
-		if left := server.RestsUntil.Sub(now); shortest == 0 || left < shortest {
+		if left := server.BackoffUntil.Sub(now); shortest == 0 || left < shortest {
 			shortest = left
 		}
 	}
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -14,11 +14,11 @@
 // Causes for which the gateway passes over a server, besides those of routing.
 const (
 	droppedStage       = "version_not_in_stage"
-	droppedFocus       = "not_in_focus_of_trial"
+	droppedFocus       = "not_in_focus_of_canary"
 	droppedColdRate    = "cold_rate"
 	droppedUnconfirmed = "entry_missing"
-	droppedSaidLeaving = "said_leaving"
-	droppedRests       = "asked_for_rest"
+	droppedDraining    = "draining"
+	droppedBackoff     = "backoff"
 )
 
 // random satisfies rand.Source with the generator of the runtime, which is
@@ -114,7 +114,7 @@
 }
 
 func (g *Gateway) routingRequest(req *request, service *routes.Service, prompt prefill.Estimate, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
-	trialServers := g.serversOnTrial(req.service, stage)
+	canaryServers := g.canaryServers(req.service, stage)
 	return &routing.Request{
 		Target:        req.service,
 		FailureDomain: g.FailureDomain,
@@ -130,13 +130,13 @@
 		DomainOut:     g.DomainOut,
 		Admit: func(server *backends.Snapshot) string {
 			switch {
-			case server.SaidLeaving:
-				return droppedSaidLeaving
-			case server.Rests(now):
-				return droppedRests
+			case server.Draining:
+				return droppedDraining
+			case server.BacksOff(now):
+				return droppedBackoff
 			case !stage.Admits(server.Server.Version):
 				return droppedStage
-			case !stage.Focused(server.Position, trialServers):
+			case !stage.Focused(server.Position, canaryServers):
 				return droppedFocus
 			case server.Server.Unconfirmed && !unconfirmed:
 				return droppedUnconfirmed
@@ -148,9 +148,9 @@
 	}
 }
 
-// serversOnTrial returns the number of servers that a stage focuses on some of;
+// canaryServers returns the number of servers that a stage focuses on some of;
 // 0 where it does not.
-func (g *Gateway) serversOnTrial(service string, stage staging.Stage) int {
+func (g *Gateway) canaryServers(service string, stage staging.Stage) int {
 	if !stage.Trial || stage.Only == "" {
 		return 0
 	}
--- a/internal/coordination/peers/lead.go
+++ b/internal/coordination/peers/lead.go
@@ -44,9 +44,9 @@
 	return slices.ContainsFunc(known[:min(len(known), smallFleet)], func(i Instance) bool { return i.Name == t.opts.Name })
 }
 
-// Elder reports whether this instance would lead if all reached the store.
-func (t *Table) Elder() bool {
-	return slices.Contains(first(*t.elders.Load()), t.opts.Name)
+// LeadsByRank reports whether this instance would lead if all reached the store.
+func (t *Table) LeadsByRank() bool {
+	return slices.Contains(first(*t.byRank.Load()), t.opts.Name)
 }
 
 // LeaderSilence returns the time since one of the instances that lead was last
@@ -74,17 +74,17 @@
 func (t *Table) renewOrder() {
 	running := t.Running()
 	sortByRank(running)
-	elders := namesOf(running, func(*Instance) bool { return true })
+	byRank := namesOf(running, func(*Instance) bool { return true })
 	order := namesOf(running, func(i *Instance) bool { return i.Ready && !i.StoreLost })
 	if len(order) == 0 {
 		order = namesOf(running, func(i *Instance) bool { return !i.Leaving && !i.StoreLost })
 	}
 	if len(order) == 0 {
-		order = elders
+		order = byRank
 	}
 	t.order.Store(&order)
 	t.renewBusy(running)
-	t.elders.Store(&elders)
+	t.byRank.Store(&byRank)
 }
 
 func namesOf(instances []Instance, chosen func(*Instance) bool) []string {
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -133,10 +133,10 @@
 	mu    sync.Mutex
 	peers map[string]*peer // by name
 	// order holds the names of the instances that run, are ready and reach the
-	// store, those that lead first; elders those of all that run, in the same
+	// store, those that lead first; byRank those of all that run, in the same
 	// order. They are renewed with every round of datagrams.
 	order  atomic.Pointer[[]string]
-	elders atomic.Pointer[[]string]
+	byRank atomic.Pointer[[]string]
 	// busy holds the other instances that are busy, as far as they may be told
 	// directly.
 	busy atomic.Pointer[[]target]
@@ -151,7 +151,7 @@
 	t := &Table{opts: opts, peers: map[string]*peer{}, kick: make(chan struct{}, 1), tell: make(chan struct{}, 1)}
 	t.busy.Store(&[]target{})
 	t.order.Store(&[]string{})
-	t.elders.Store(&[]string{opts.Name})
+	t.byRank.Store(&[]string{opts.Name})
 	return t
 }
 
--- a/internal/coordination/staging/stage.go
+++ b/internal/coordination/staging/stage.go
@@ -8,11 +8,11 @@
 	Not string
 	// Barred names a version that must not be used; empty for none.
 	Barred string
-	// Trial is true where a version is on trial, so that another is as good.
+	// Trial is true where a version is a canary, so that another is as good.
 	Trial bool
 	// Final is true once a roll-out has ended.
 	Final bool
-	// focus names the servers of the version on trial that get its requests.
+	// focus names the servers of the canary version that get its requests.
 	focus focus
 }
 
--- a/internal/coordination/staging/staging.go
+++ b/internal/coordination/staging/staging.go
@@ -148,9 +148,9 @@
 	return ""
 }
 
-// OnTrial reports whether a version is the target of an order that is not
+// IsCanary reports whether a version is the target of an order that is not
 // decided yet.
-func (c *Controller) OnTrial(service, version string) bool {
+func (c *Controller) IsCanary(service, version string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	order, ordered := c.orders[service]
--- a/internal/coordination/staging/staging_test.go
+++ b/internal/coordination/staging/staging_test.go
@@ -18,10 +18,10 @@
 	oldOne  = "v1"
 	newOne  = "v2"
 	// exposure is the allowed part of the requests in the tests. A tenth of the
-	// sessions is on trial at first, three tenths later.
+	// sessions goes to the canary at first, three tenths later.
 	exposure = 0.25
 	// atLoad and atEnd are moments of an order of 20 s at which the larger share
-	// is on trial, and at which a version may be taken over.
+	// goes to the canary, and at which it may be taken over.
 	atLoad = 11 * time.Second
 	atEnd  = 19200 * time.Millisecond
 )
--- a/internal/coordination/staging/trial.go
+++ b/internal/coordination/staging/trial.go
@@ -8,7 +8,7 @@
 // A trial has two parts. First a small share of the sessions shows whether the
 // new version answers at all. Then the share grows, so that its servers carry
 // what they would carry after the change: a version may fail under load alone.
-// A version may also fail under a load that it does not meet while it is on trial,
+// A version may also fail under a load that it does not meet as a canary,
 // so it is taken over only shortly before the deadline. Together this stays within
 // the exposure that is allowed, with a margin for the uneven sizes of sessions.
 const (
@@ -40,7 +40,7 @@
 	return s.seenAt.Add(s.order.Within - min(takeoverTime, time.Duration(takeoverPart*float64(s.order.Within))))
 }
 
-// underLoad reports whether the larger share is on trial.
+// underLoad reports whether the canary gets the larger share.
 func (s *staged) underLoad(now time.Time) bool {
 	return now.Sub(s.seenAt) >= time.Duration(loadFrom*float64(s.order.Within))
 }
@@ -87,7 +87,7 @@
 	return focus{share: c.trialShare(s), turn: int(c.now().Sub(s.seenAt) / focusTurn)}
 }
 
-// Unfocused returns the stage with all servers of the version on trial.
+// Unfocused returns the stage with all servers of the canary version.
 func (s Stage) Unfocused() Stage {
 	s.focus = focus{}
 	return s
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -106,12 +106,12 @@
 	Position float64
 	// InFlightAtLoad is InFlight at the moment Load was read.
 	InFlightAtLoad int
-	// SaidLeaving is true once an answer of this run of the server said that it
+	// Draining is true once an answer of this run of the server said that it
 	// leaves.
-	SaidLeaving bool
-	// RestsUntil is the moment before which the server has asked for no further
+	Draining bool
+	// BackoffUntil is the moment before which the server has asked for no further
 	// request; zero if it has not asked.
-	RestsUntil time.Time
+	BackoffUntil time.Time
 }
 
 // Snapshot returns a copy of the current state.
@@ -133,8 +133,8 @@
 
 		FailedAt:       b.failedAt,
 		InFlightAtLoad: b.inFlightAtLoad,
-		SaidLeaving:    b.withdrawal.leaving,
-		RestsUntil:     b.withdrawal.restsUntil,
+		Draining:       b.withdrawal.draining,
+		BackoffUntil:   b.withdrawal.backoffUntil,
 	}
 }
 
