Give up a server without a queue in time for another one

Change: a server whose latest report shows no queue is given up after five times what its prompts are expected to take, and half of the objective at least; with a queue, long prompts or no fresh report, all is as before, so that slow but sound servers are not cut. TestServerThatLosesAnswers failed on the code before.

--- /dev/null
+++ b/internal/coordination/gateway/patience_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/prefill"
+	"medlarslip/internal/protocol/routes"
+	"medlarslip/internal/state/backends"
+)
+
+// TestServerThatLosesAnswers: a server that runs requests and whose answers are
+// lost is given up in time for another one, but not one that has a queue, has
+// long prompts to read, or of which no report is fresh.
+func TestServerThatLosesAnswers(t *testing.T) {
+	const objective = 2 * time.Second
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name           string
+		load           backends.Load
+		before, prompt time.Duration
+		want           time.Duration
+	}{
+		{"idle", backends.Load{Running: 4, ReadAt: now}, 0, 50 * time.Millisecond, objective / 2},
+		{"slow by four times", backends.Load{ReadAt: now}, 0, 400 * time.Millisecond, 2200 * time.Millisecond},
+		{"reads long prompts", backends.Load{ReadAt: now}, time.Second, time.Second, streamPatienceFactor * objective},
+		{"has a queue", backends.Load{Waiting: 1, ReadAt: now}, 0, 50 * time.Millisecond, streamPatienceFactor * objective},
+		{"old report", backends.Load{ReadAt: now.Add(-2 * reportAge)}, 0, 50 * time.Millisecond, streamPatienceFactor * objective},
+		{"no report", backends.Load{}, 0, 50 * time.Millisecond, streamPatienceFactor * objective},
+		{"no prompt", backends.Load{ReadAt: now}, 0, 0, streamPatienceFactor * objective},
+	}
+	g := New(Options{})
+	for _, c := range cases {
+		req := &request{route: &routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3, Objective: objective}}
+		choice := &selection{prompt: prefill.Estimate{Time: c.prompt}, snapshot: backends.Snapshot{Load: c.load, Prefill: c.before}}
+		must.Eq(t, c.want, g.patience(req, choice, now), must.Sprint(c.name))
+		req.sent = 2
+		must.Eq(t, noLimit, g.patience(req, choice, now), must.Sprint(c.name))
+	}
+}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"medlarslip/internal/coordination/retrybudget"
-	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
 )
 
@@ -153,7 +152,7 @@
 	a := &attempt{gateway: g, req: req, choice: choice, model: req.plan.model(), began: time.Now()}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	req.tried = append(req.tried, a.server())
-	limit := a.watch(g.patience(req, a.began), choice.stage)
+	limit := a.watch(g.patience(req, choice, a.began), choice.stage)
 	endPrefill := g.beginPrefill(choice)
 	var err error
 	a.answer, err = g.Upstream.Send(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID))
@@ -163,35 +162,6 @@
 	return a
 }
 
-const (
-	// patienceFactor is the number of latency objectives after which another
-	// server is asked, where the request may be repeated.
-	patienceFactor = 2
-	// streamPatienceFactor is the same for streams, whose servers keep a queue:
-	// a request that is taken back loses its place there.
-	streamPatienceFactor = 4
-	// leastPatience keeps that time above what a loaded server usually takes.
-	leastPatience = 200 * time.Millisecond
-	// noLimit stands for a wait that only the request itself bounds.
-	noLimit = time.Hour
-)
-
-// patience returns how long to wait for the header of a response.
-func (g *Gateway) patience(req *request, now time.Time) time.Duration {
-	if !req.route.Repeatable() || req.sent+1 >= req.route.MaxAttempts {
-		return noLimit
-	}
-	factor := time.Duration(patienceFactor)
-	if req.route.Kind == routes.Stream {
-		factor = streamPatienceFactor
-	}
-	patience := max(factor*req.route.Objective, leastPatience)
-	if remaining := req.remaining(now); remaining > 0 {
-		patience = min(patience, remaining/2)
-	}
-	return patience
-}
-
 // encode puts together the bytes of the request.
 func (a *attempt) encode(lastEventID string) RawRequest {
 	r := a.req
@@ -251,10 +221,10 @@
 // noteWithdrawal keeps what the server says of getting no more requests.
 func (a *attempt) noteWithdrawal() {
 	if a.reply.Leaving {
-		a.choice.backend.NoteLeaving()
+		a.choice.backend.NoteDraining()
 	}
 	if a.reply.RetryAfter > 0 {
-		a.choice.backend.NoteRest(time.Now().Add(a.reply.RetryAfter))
+		a.choice.backend.NoteBackoff(time.Now().Add(a.reply.RetryAfter))
 	}
 }
 
@@ -293,6 +263,6 @@
 	a.cancel()
 	a.settle()
 	if a.verdict == deliver {
-		a.tellVersion()
+		a.reportVersion()
 	}
 }
