--- a/internal/coordination/gateway/wait_test.go
+++ b/internal/coordination/gateway/wait_test.go
@@ -54,7 +54,7 @@
 }
 
 // answer sends a request and returns its status and how long it took.
-func answer(g *Gateway, ctx context.Context, body string) (int, time.Duration) {
+func answer(ctx context.Context, g *Gateway, body string) (int, time.Duration) {
 	began := time.Now()
 	recorder := httptest.NewRecorder()
 	g.ServeHTTP(recorder, httptest.NewRequestWithContext(ctx, http.MethodPost, "/", strings.NewReader(body)))
@@ -81,7 +81,7 @@
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
-			status, took := answer(c.instance.gateway(), t.Context(), c.body)
+			status, took := answer(t.Context(), c.instance.gateway(), c.body)
 			must.Eq(t, c.status, status, must.Sprint(c.name))
 			must.LessEq(t, c.within, took, must.Sprint(c.name))
 		})
@@ -95,10 +95,10 @@
 		g := starting{time.Hour, time.Hour, time.Minute}.gateway()
 		ctx, leave := context.WithCancel(t.Context())
 		for range maxWaiting {
-			go answer(g, ctx, "")
+			go answer(ctx, g, "")
 		}
 		synctest.Wait()
-		status, took := answer(g, t.Context(), "")
+		status, took := answer(t.Context(), g, "")
 		must.Eq(t, http.StatusServiceUnavailable, status)
 		must.Zero(t, took)
 		leave()
