--- a/scripts/pair-days.sh
+++ b/scripts/pair-days.sh
@@ -17,7 +17,7 @@
     }
   }' <<<"$list")
 while read -r first second; do
-  name=$(basename "$first" .toml)+$(basename "$second" .toml)
+  name=$(basename "$first" .toml)-and-$(basename "$second" .toml)
   {
     printf '[[day]]\nname = "%s"\nslot = "trouble"\n' "$name"
     for part in plan faults; do
