--- a/internal/coordination/gateway/codec.go
+++ b/internal/coordination/gateway/codec.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/state/backends"
 )
 
@@ -77,6 +78,8 @@
 	// RetryAfter is the backoff that a server asks for with a refusal; 0 if it
 	// asks for none.
 	RetryAfter time.Duration
+	// RateLimit is the limit that the server states for all instances together.
+	RateLimit fleetlimit.Limit
 }
 
 // Codec translates the headers of requests and responses.
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/escalation"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/staging"
@@ -53,6 +54,8 @@
 	Bounds func() Bounds
 	// Servers lists the backend servers by the names of their services.
 	Servers *backends.Table
+	// Limits holds the rate limits that servers state for all instances together.
+	Limits *fleetlimit.Limiter
 	// DomainOut reports whether a failure domain is out of service.
 	DomainOut func(failureDomain string) bool
 	// Staging chooses the version of a service during a rollout.
--- a/internal/coordination/gateway/noserver_test.go
+++ b/internal/coordination/gateway/noserver_test.go
@@ -10,6 +10,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
@@ -31,6 +33,7 @@
 		evacuated := true
 		g := New(Options{
 			Servers: table, Log: logrus.NewEntry(logger), Instances: func() int { return 1 },
+			Limits:    fleetlimit.New(fleetlimit.Options{Now: boottime.Now, Changed: func() {}, Log: logrus.NewEntry(logger)}),
 			Staging:   staging.New(func() float64 { return 0 }, time.Now),
 			DomainOut: func(string) bool { return evacuated },
 		})
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/state/backends"
 )
@@ -121,9 +122,11 @@
 	reply    Reply
 	verdict  verdict
 	began    time.Time
-	cancel   context.CancelFunc
-	settled  bool
-	ctx      context.Context
+	// sentAt is a moment before the request was sent.
+	sentAt  boottime.Instant
+	cancel  context.CancelFunc
+	settled bool
+	ctx     context.Context
 	// slow is true if the header of the response took far longer than the
 	// moving mean.
 	slow bool
@@ -156,6 +159,7 @@
 	req.tried = append(req.tried, a.server())
 	limit := a.watch(g.headerTimeout(req, choice, a.began), choice.stage)
 	endPrefill := g.beginPrefill(choice)
+	a.sentAt = g.Limits.Now()
 	var err error
 	a.response, err = g.Upstream.Send(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID))
 	endPrefill()
@@ -197,6 +201,7 @@
 		a.verdict = judgeReply(&a.reply, a.req.call.ID)
 		a.recordLoad()
 		a.recordAvailability()
+		a.recordRateLimit()
 	}
 	if a.verdict != notRun || err == nil {
 		a.req.sent++
@@ -231,6 +236,19 @@
 	}
 }
 
+// recordRateLimit records the rate limit that the server states, or that it states
+// none. The header of another server, or of an answer to an earlier request, says
+// nothing about the present, and a refusal need not repeat the limit.
+func (a *attempt) recordRateLimit() {
+	limit := a.reply.RateLimit
+	if a.reply.Status == http.StatusMisdirectedRequest || a.reply.RequestID != a.req.call.ID {
+		return
+	}
+	if limit.Stated || limit.Invalid || a.verdict != notRun {
+		a.gateway.Limits.Observe(a.server(), limit, a.sentAt)
+	}
+}
+
 // settle reports the result to the backend and frees its slot, once.
 func (a *attempt) settle() {
 	if a.settled {
