Grant permits for servers with a rate limit, one coordinator a server

Callers of these servers wait in their queues.

Cause: nothing used the limit. Class: a bound that holds for all instances together and that instances without knowledge of each other can't keep: a limit that each applies by itself is wider by the size of the fleet.

Change: instances pass on what servers stated. One instance a server, by rendezvous hashing over those that run, grants permits from a token bucket; the others ask it just before they send, and use a permit within 100 ms of having asked for it or not at all, on the clock that counts suspensions. Whoever gets none uses another server; where there is none, the request is refused at once as not run, and Retry-After says when the next permit is due. An instance that is asked but is not the coordinator in its own view refuses. The part of a fleet that is cut off grants the share of the rate that corresponds to its size. Every attempt needs a permit: first ones, retries, stronger models, resumed streams; a kept connection is not written to twice.

Weighed: a static share an instance, as for cold servers, needs no messages, but at 60 instances and a limit of 2.5 a second only some may send at all, whether or not they have requests.

In virtual time, with 1, 8 and 60 instances, limits of 0 to 12 a second that are lowered, raised, ended and stated again, and with 300 instances: peers: TestFleetKeepsTheRateLimitOfAServer, TestLargeFleetKeepsTheRateLimitOfAServer, TestFewInstancesUseTheWholeLimit, TestRateLimitHoldsWhileInstancesFail.

--- a/internal/coordination/fleetlimit/fleetlimit.go
+++ b/internal/coordination/fleetlimit/fleetlimit.go
@@ -32,15 +32,28 @@
 	maxReports = 32
 )
 
-// Options configures a Limiter. All fields are required.
+// Options configures a Limiter. Without Coordinator, Share, Send and Changed the
+// instance is the only one.
 type Options struct {
+	// Name is the name of this instance.
+	Name string
 	// Now reads a clock that includes the time during which the machine was
 	// suspended.
 	Now func() boottime.Instant
+	Log *logrus.Entry
+	// Coordinator returns the name of the instance that grants permits for a
+	// server, in the view of this instance.
+	Coordinator func(server string) string
+	// Share returns the share, 0 to 1, of the instances that may be running which
+	// this instance is in contact with, itself included; 0 while it does not know
+	// the fleet yet.
+	Share func() float64
+	// Send sends a message to another instance, which passes it to Handle. It does
+	// not block, and the message may be lost.
+	Send func(instance string, m *Message)
 	// Changed is called after the limit of a server has changed, so that other
 	// instances receive it soon.
 	Changed func()
-	Log     *logrus.Entry
 }
 
 // Limiter holds the limits of all servers that stated one. It is safe for
@@ -54,6 +67,10 @@
 	// next is the position, in the order of their IDs, of the server that Reports
 	// returns next.
 	next atomic.Int64
+	// pending holds the requests for permits that await a reply.
+	pending sync.Map // ID to chan *Message
+	// granted and refused count the results of Acquire for servers with a limit.
+	granted, refused atomic.Int64
 }
 
 // server is the state of a server that states a limit, or did so.
@@ -62,10 +79,22 @@
 	mu        sync.Mutex
 	said      statement
 	changedAt boottime.Instant
+	// bucket is nil unless this instance has been the coordinator.
+	bucket *bucket
+	// pausedUntil is the time until which no permit is requested.
+	pausedUntil boottime.Instant
 }
 
 // New returns a Limiter that knows no limits.
-func New(opts Options) *Limiter { return &Limiter{opts: opts} }
+func New(opts Options) *Limiter {
+	if opts.Coordinator == nil {
+		opts.Coordinator = func(string) string { return opts.Name }
+		opts.Share = func() float64 { return 1 }
+		opts.Send = func(string, *Message) {}
+		opts.Changed = func() {}
+	}
+	return &Limiter{opts: opts}
+}
 
 // Now reads the clock of the limiter.
 func (l *Limiter) Now() boottime.Instant { return l.opts.Now() }
@@ -93,6 +122,9 @@
 	return found.(*server)
 }
 
+// Permits returns the numbers of permits that this instance got and did not get.
+func (l *Limiter) Permits() (granted, refused int64) { return l.granted.Load(), l.refused.Load() }
+
 // Limited reports whether a server states a limit.
 func (l *Limiter) Limited(id string) bool {
 	s := l.server(id)
@@ -160,7 +192,7 @@
 	if old == said.limit {
 		return false
 	}
-	s.changedAt = now
+	s.changedAt, s.pausedUntil = now, 0
 	return true
 }
 
--- a/internal/coordination/fleetlimit/statement_test.go
+++ b/internal/coordination/fleetlimit/statement_test.go
@@ -64,7 +64,7 @@
 // machine must not end a limit that was stated in the meantime.
 func TestReportThatWasDelayedIsNotRecent(t *testing.T) {
 	c := &clock{}
-	l := New(Options{Now: c.read, Changed: func() {}, Log: quietLog()})
+	l := New(Options{Now: c.read, Log: quietLog()})
 	c.set(20 * time.Second)
 	l.Observe("s", stated(3), boottime.Instant(19*time.Second))
 	ended := []Report{{Server: "s", OldestAge: 200 * time.Millisecond, NewestAge: 100 * time.Millisecond}}
@@ -82,8 +82,9 @@
 func TestReportsReachOtherInstances(t *testing.T) {
 	c := &clock{}
 	changes := 0
-	told := New(Options{Now: c.read, Changed: func() {}, Log: quietLog()})
-	other := New(Options{Now: c.read, Changed: func() { changes++ }, Log: quietLog()})
+	told := New(Options{Now: c.read, Log: quietLog()})
+	other := New(Options{Now: c.read, Log: quietLog()})
+	other.opts.Changed = func() { changes++ }
 	for i, limit := range []Limit{stated(3), stated(6), stated(0.2), {}} {
 		c.set(time.Duration(10*(i+1)) * time.Second)
 		told.Observe("s", limit, c.now-boottime.Instant(time.Second))
@@ -99,7 +100,7 @@
 // TestInvalidReportsAreIgnored: what another instance can't have measured is not used.
 func TestInvalidReportsAreIgnored(t *testing.T) {
 	c := &clock{now: boottime.Instant(time.Hour)}
-	l := New(Options{Now: c.read, Changed: func() {}, Log: quietLog()})
+	l := New(Options{Now: c.read, Log: quietLog()})
 	l.Merge([]Report{
 		{Limited: true, PerSecond: 1},
 		{Server: "a", Limited: true, PerSecond: -1},
@@ -116,7 +117,7 @@
 func TestReportsAreBounded(t *testing.T) {
 	const servers = 600
 	c := &clock{now: boottime.Instant(time.Hour)}
-	l := New(Options{Now: c.read, Changed: func() {}, Log: quietLog()})
+	l := New(Options{Now: c.read, Log: quietLog()})
 	for i := range servers {
 		l.Observe(string(rune('a'+i%26))+time.Duration(i).String(), stated(1), c.now-1)
 		c.now++
@@ -135,7 +136,7 @@
 // TestStatementsExpire: servers that are gone are forgotten.
 func TestStatementsExpire(t *testing.T) {
 	c := &clock{now: boottime.Instant(time.Hour)}
-	l := New(Options{Now: c.read, Changed: func() {}, Log: quietLog()})
+	l := New(Options{Now: c.read, Log: quietLog()})
 	l.Observe("gone", stated(1), c.now-1)
 	l.Observe("ended", stated(1), c.now-1)
 	c.now += boottime.Instant(time.Second)
--- a/internal/coordination/gateway/noserver.go
+++ b/internal/coordination/gateway/noserver.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,9 +42,14 @@
 }
 
 // noServer returns the refusal of a request for which no server is available.
-// If all servers ask for a backoff, Retry-After covers the shortest of them.
-func (g *Gateway) noServer(req *request) *refusal {
+// If all servers ask for a backoff or have used up their rate limits, Retry-After
+// covers the shortest wait.
+func (g *Gateway) noServer(ctx context.Context, req *request) *refusal {
 	refused := refuseNoServer
+	if ctx.Err() != nil {
+		// The choice was abandoned.
+		return &refused
+	}
 	now := time.Now()
 	elapsed := now.Sub(g.shortages.begin(req.service, now))
 	refused.retryAfter = jitter(max(retrySoon, min(time.Duration(retryAfterShare*float64(elapsed)), maxRetryAfter)))
@@ -61,9 +67,9 @@
 	return time.Duration((1 + retryAfterJitter*(2*rand.Float64()-1)) * float64(wait))
 }
 
-// shortestBackoff returns the shortest remaining backoff of the servers of a
-// service, and whether every server that is neither leaving nor draining is in
-// backoff.
+// shortestBackoff returns the shortest time until a server of a service may be
+// sent a request, and whether every server that is neither leaving nor draining is
+// in backoff or has used up its rate limit.
 func (g *Gateway) shortestBackoff(service string, now time.Time) (shortest time.Duration, all bool) {
 	list := backends.List(g.Servers.Serving(service))
 	for i := range list {
@@ -71,10 +77,11 @@
 		if server.Server.Leaving || server.Draining {
 			continue
 		}
-		if !server.InBackoff(now) {
+		left := max(server.BackoffUntil.Sub(now), g.Limits.Wait(server.Server.ID))
+		if left <= 0 {
 			return 0, false
 		}
-		if left := server.BackoffUntil.Sub(now); shortest == 0 || left < shortest {
+		if shortest == 0 || left < shortest {
 			shortest = left
 		}
 	}
--- a/internal/coordination/gateway/noserver_test.go
+++ b/internal/coordination/gateway/noserver_test.go
@@ -33,7 +33,7 @@
 		evacuated := true
 		g := New(Options{
 			Servers: table, Log: logrus.NewEntry(logger), Instances: func() int { return 1 },
-			Limits:    fleetlimit.New(fleetlimit.Options{Now: boottime.Now, Changed: func() {}, Log: logrus.NewEntry(logger)}),
+			Limits:    fleetlimit.New(fleetlimit.Options{Now: boottime.Now, Log: logrus.NewEntry(logger)}),
 			Staging:   staging.New(func() float64 { return 0 }, time.Now),
 			DomainOut: func(string) bool { return evacuated },
 		})
@@ -42,8 +42,8 @@
 		}
 		refused := func() time.Duration {
 			req := request()
-			must.Nil(t, g.choose(req, ""))
-			return g.noServer(req).retryAfter
+			must.Nil(t, g.choose(t.Context(), req, ""))
+			return g.noServer(t.Context(), req).retryAfter
 		}
 		must.LessEq(t, 2*retrySoon, refused())
 		must.Eq(t, map[string]int{routing.DroppedDomainOut: 1, routing.DroppedLeaving: 1}, logged.LastEntry().Data["passed_over"].(map[string]int))
@@ -58,7 +58,7 @@
 		time.Sleep(time.Minute)
 		must.Between(t, 3*time.Second, refused(), 7*time.Second)
 		evacuated = false
-		must.NotNil(t, g.choose(request(), ""))
+		must.NotNil(t, g.choose(t.Context(), request(), ""))
 		evacuated = true
 		must.LessEq(t, 2*retrySoon, refused())
 	})
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -31,7 +31,7 @@
 	for {
 		a := g.attempt(ctx, req, "", req.call.LastEventID)
 		if a == nil {
-			return e.giveUp(ctx, req, g.noServer(req))
+			return e.giveUp(ctx, req, g.noServer(ctx, req))
 		}
 		e.record(a)
 		if a.verdict == deliver {
@@ -150,24 +150,41 @@
 // response. It returns nil if no server is available. A version other than ""
 // restricts the choice to its servers, as needed to resume a stream.
 func (g *Gateway) attempt(ctx context.Context, req *request, version, lastEventID string) *attempt {
-	choice := g.choose(req, version)
-	if choice == nil {
+	a, raw := g.prepare(ctx, req, version, lastEventID)
+	if a == nil {
 		return nil
 	}
-	a := &attempt{gateway: g, req: req, choice: choice, model: req.plan.model(), began: time.Now()}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	req.tried = append(req.tried, a.server())
-	limit := a.watch(g.headerTimeout(req, choice, a.began), choice.stage)
-	endPrefill := g.beginPrefill(choice)
+	limit := a.watch(g.headerTimeout(req, a.choice, a.began), a.choice.stage)
+	endPrefill := g.beginPrefill(a.choice)
 	a.sentAt = g.Limits.Now()
 	var err error
-	a.response, err = g.Upstream.Send(a.ctx, choice.snapshot.Server.Address, a.encode(lastEventID))
+	a.response, err = g.Upstream.Send(a.ctx, a.choice.snapshot.Server.Address, raw)
 	endPrefill()
 	limit.stop()
 	a.judge(err)
 	return a
 }
 
+// prepare chooses a server and encodes the request to it. It
+// returns nil if no server is available.
+func (g *Gateway) prepare(ctx context.Context, req *request, version, lastEventID string) (*attempt, RawRequest) {
+	for {
+		choice := g.choose(ctx, req, version)
+		if choice == nil {
+			return nil, RawRequest{}
+		}
+		a := &attempt{gateway: g, req: req, choice: choice, model: req.plan.model(), began: time.Now()}
+		raw := a.encode(lastEventID)
+		if !choice.permit.Expired(g.Limits.Now()) {
+			return a, raw
+		}
+		// This process was suspended since the permit was granted.
+		choice.backend.Cancel()
+	}
+}
+
 // encode returns the request in wire format.
 func (a *attempt) encode(lastEventID string) RawRequest {
 	r := a.req
@@ -187,7 +204,9 @@
 	// Writing to a buffer does not fail.
 	_ = header.Write(&head)
 	head.WriteString("\r\n")
-	return RawRequest{Method: r.http.Method, Head: head.Bytes(), Body: r.body, Repeatable: r.route.Repeatable()}
+	// A permit is for one request, so it must not be written twice.
+	repeatable := r.route.Repeatable() && a.choice.permit.Unlimited()
+	return RawRequest{Method: r.http.Method, Head: head.Bytes(), Body: r.body, Repeatable: repeatable}
 }
 
 // judge classifies the attempt by the header of its response, or by err if
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/staging"
@@ -20,6 +22,7 @@
 	droppedUnconfirmed = "entry_missing"
 	droppedDraining    = "draining"
 	droppedBackoff     = "backoff"
+	droppedRateLimit   = "rate_limit"
 )
 
 // random implements rand.Source with the global generator, which is safe for
@@ -38,17 +41,19 @@
 	stage staging.Stage
 	// prompt is the prefill estimate at the time of the choice.
 	prompt prefill.Estimate
+	// permit allows the request if the server states a rate limit.
+	permit fleetlimit.Permit
 }
 
 // choose chooses a server for the next attempt and begins a call on it. It
 // returns nil if none is available. A version other than "" is the only one
-// considered.
-func (g *Gateway) choose(req *request, version string) *selection {
+// considered. It may wait for a permit.
+func (g *Gateway) choose(ctx context.Context, req *request, version string) *selection {
 	stage := staging.Stage{Only: version}
 	if version == "" {
 		stage = g.stage(req)
 	}
-	found := g.chooseInStage(req, stage, version)
+	found := g.chooseInStage(ctx, req, stage, version)
 	if found != nil {
 		found.stage = stage
 		g.shortages.end(req.service)
@@ -58,23 +63,23 @@
 
 // chooseInStage considers only the versions of the rollout stage. If none of
 // their servers is available, it considers every version that is not excluded.
-func (g *Gateway) chooseInStage(req *request, stage staging.Stage, version string) *selection {
-	if found := g.pick(req, stage, false); found != nil {
+func (g *Gateway) chooseInStage(ctx context.Context, req *request, stage staging.Stage, version string) *selection {
+	if found := g.pick(ctx, req, stage, false); found != nil {
 		return found
 	}
 	if stage.Trial {
 		// A session stays on the new version if no server of the rollout's subset
 		// is available.
-		if found := g.pick(req, stage.WithAllServers(), false); found != nil {
+		if found := g.pick(ctx, req, stage.WithAllServers(), false); found != nil {
 			return found
 		}
 		g.Staging.RecordOldVersionUse(req.service, req.session)
 		stage = stage.Widened()
 	}
-	if found := g.pick(req, stage, true); found != nil || version != "" {
+	if found := g.pick(ctx, req, stage, true); found != nil || version != "" {
 		return found
 	}
-	return g.pick(req, stage.Widened(), true)
+	return g.pick(ctx, req, stage.Widened(), true)
 }
 
 // stage returns the rollout stage of a request. All its attempts use the same
@@ -88,34 +93,62 @@
 	return stage
 }
 
-// maxPicks bounds how often a choice is repeated because the chosen server
-// reached its concurrency limit in the meantime.
-const maxPicks = 3
+const (
+	// maxPicks bounds how often a choice is repeated because the chosen server
+	// reached its concurrency limit in the meantime.
+	maxPicks = 3
+	// maxPermitRequests bounds how many permits a choice requests. If none is
+	// granted, it considers only servers without a rate limit.
+	maxPermitRequests = 4
+)
 
-func (g *Gateway) pick(req *request, stage staging.Stage, unconfirmed bool) *selection {
+func (g *Gateway) pick(ctx context.Context, req *request, stage staging.Stage, unconfirmed bool) *selection {
 	list := backends.List(g.Servers.Serving(req.service))
 	service := req.index.Service(req.service)
 	prompt := g.estimate(req)
-	for range maxPicks {
+	refused := 0
+	for picks := 0; picks < maxPicks && ctx.Err() == nil; {
 		now := time.Now()
-		decision := routing.Decide(g.routingRequest(req, service, prompt, stage, unconfirmed, now), list, rand.New(random{}))
-		chosen := decision.Chosen()
+		route := g.routingRequest(req, service, prompt, stage, unconfirmed, now)
+		if refused >= maxPermitRequests {
+			route.Admit = g.admitUnlimited(route.Admit)
+		}
+		chosen := routing.Decide(route, list, rand.New(random{})).Chosen()
 		if chosen == nil {
 			return nil
 		}
 		backend := list[chosen.Index]
 		if !backend.Begin(chosen.Bound) {
+			picks++
+			continue
+		}
+		permit, ok := g.Limits.Acquire(ctx, chosen.Server.Server.ID)
+		if !ok {
+			// The server is not admitted again before a permit may be requested.
+			backend.Cancel()
+			refused++
 			continue
 		}
 		if isCold(&chosen.Server, now) && !g.coldAllows(&chosen.Server, service, now, true) {
 			backend.Cancel()
+			picks++
 			continue
 		}
-		return &selection{backend: backend, snapshot: chosen.Server, prompt: prompt}
+		return &selection{backend: backend, snapshot: chosen.Server, prompt: prompt, permit: permit}
 	}
 	return nil
 }
 
+// admitUnlimited restricts admit to servers without a rate limit.
+func (g *Gateway) admitUnlimited(admit func(*backends.Snapshot) string) func(*backends.Snapshot) string {
+	return func(server *backends.Snapshot) string {
+		if g.Limits.Limited(server.Server.ID) {
+			return droppedRateLimit
+		}
+		return admit(server)
+	}
+}
+
 func (g *Gateway) routingRequest(req *request, service *routes.Service, prompt prefill.Estimate, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
 	canaryServers := g.canaryServers(req.service, stage)
 	return &routing.Request{
@@ -143,6 +176,8 @@
 				return droppedNotFocused
 			case server.Server.Unconfirmed && !unconfirmed:
 				return droppedUnconfirmed
+			case g.Limits.Wait(server.Server.ID) > 0:
+				return droppedRateLimit
 			case isCold(server, now) && !g.coldAllows(server, service, now, false):
 				return droppedColdRate
 			}
--- a/internal/coordination/peers/datagram.go
+++ b/internal/coordination/peers/datagram.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 )
 
 // Proof states that the configuration up to an offset was the newest at a moment
@@ -40,6 +41,9 @@
 	Have       version `cbor:"6,keyasint"`
 	// Roster is set only in replies.
 	Roster *rosterDelta `cbor:"7,keyasint,omitempty"`
+	// Permit is a message about a permit. A datagram with one carries nothing else
+	// but the name and the address of its sender.
+	Permit *fleetlimit.Message `cbor:"8,keyasint,omitempty"`
 }
 
 // provenAt returns a lower bound, on the receiver's clock, of the moment to which
--- a/internal/coordination/peers/exchange.go
+++ b/internal/coordination/peers/exchange.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/pause"
 )
 
@@ -27,6 +28,7 @@
 // Run sends and receives datagrams on conn until ctx ends; it returns nil then. It
 // closes conn.
 func (t *Table) Run(ctx context.Context, conn net.PacketConn) error {
+	t.conn.Store(&conn)
 	group, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -53,6 +55,10 @@
 		if cbor.Unmarshal(buffer[:n], &d) != nil {
 			continue
 		}
+		if d.Permit != nil {
+			t.handlePermit(conn, &d)
+			continue
+		}
 		t.handle(&d)
 		if d.WantsReply {
 			t.reply(conn, &d)
@@ -68,6 +74,30 @@
 	t.sendTo(conn, content, &to)
 }
 
+// handlePermit passes on a message about a permit and sends its reply.
+func (t *Table) handlePermit(conn net.PacketConn, d *datagram) {
+	if reply := t.opts.OnPermit(d.Permit); reply != nil {
+		t.sendPermitTo(conn, reply, d.Instance.PeerAddress)
+	}
+}
+
+// SendPermit sends a message about a permit to an instance. It is dropped if the
+// instance is not known.
+func (t *Table) SendPermit(instance string, m *fleetlimit.Message) {
+	t.mu.Lock()
+	p := t.peers[instance]
+	t.mu.Unlock()
+	if conn := t.conn.Load(); conn != nil && p != nil {
+		t.sendPermitTo(*conn, m, p.instance.PeerAddress)
+	}
+}
+
+func (t *Table) sendPermitTo(conn net.PacketConn, m *fleetlimit.Message, address string) {
+	self := t.opts.Self()
+	d := datagram{Instance: Instance{Name: self.Name, PeerAddress: self.PeerAddress}, Permit: m}
+	t.sendTo(conn, d, &target{address: address})
+}
+
 func (t *Table) send(ctx context.Context, conn net.PacketConn) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -136,7 +166,7 @@
 // sendTo sends a datagram. Errors are ignored: a failed send is equivalent to a
 // lost datagram.
 func (t *Table) sendTo(conn net.PacketConn, d datagram, to *target) {
-	d.Echo = Echo{Sent: boottime.Now(), Echoed: to.echo}
+	d.Echo = Echo{Sent: t.opts.Clock(), Echoed: to.echo}
 	d.WantsReply, d.Have = to.wantsReply, to.have
 	content, err := cbor.Marshal(&d)
 	if err != nil || len(content) > maxDatagram {
--- a/internal/coordination/peers/lead.go
+++ b/internal/coordination/peers/lead.go
@@ -88,6 +88,7 @@
 	t.order.Store(&order)
 	t.updateBusy(running)
 	t.byRank.Store(&byRank)
+	t.updateCoordinators(running)
 }
 
 func namesOf(instances []Instance, match func(*Instance) bool) []string {
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/staging"
 )
@@ -95,6 +97,8 @@
 	ActiveSessions []staging.ActiveSession `cbor:"4,keyasint,omitempty"`
 	// RelayedSessions are the active sessions that a leader received from others.
 	RelayedSessions []staging.ActiveSession `cbor:"5,keyasint,omitempty"`
+	// Limits are the rate limits that backend servers have stated.
+	Limits []fleetlimit.Report `cbor:"6,keyasint,omitempty"`
 }
 
 type peer struct {
@@ -123,13 +127,20 @@
 	Prefill func() map[string]int64
 	// Proof returns a proof from this instance's own reads; nil if it has none.
 	Proof func() *Proof
-	// OnPayload is called with the payload of each received datagram.
-	OnPayload func(peer *Instance, payload *Payload)
+	// OnPayload is called with the payload of each received datagram, which was
+	// sent at sentAfter or later, on Clock; 0 means unknown.
+	OnPayload func(peer *Instance, payload *Payload, sentAfter boottime.Instant)
+	// OnPermit is called with each received message about a permit, and returns
+	// the reply; nil for none.
+	OnPermit func(m *fleetlimit.Message) *fleetlimit.Message
 	// OnProof is called with each usable proof of a peer: the configuration up to
 	// the offset was the newest at a moment not before at.
 	OnProof func(end int64, at boottime.Instant)
 	// Now is the clock of all timeouts.
 	Now func() time.Time
+	// Clock is the clock of Echo. It includes the time during which the machine
+	// was suspended.
+	Clock func() boottime.Instant
 }
 
 // Table tracks the other instances of the fleet. It is safe for concurrent use.
@@ -142,6 +153,11 @@
 	// sorted by rank. Both are updated in every round.
 	order  atomic.Pointer[[]string]
 	byRank atomic.Pointer[[]string]
+	// coordinators holds the names of the instances that may be the coordinator of
+	// a backend server. It is updated in every round.
+	coordinators atomic.Pointer[[]string]
+	// conn is set while Run is running.
+	conn atomic.Pointer[net.PacketConn]
 	// busy holds the busy instances, at most smallFleet of them, which receive
 	// load announcements.
 	busy         atomic.Pointer[[]target]
@@ -157,6 +173,7 @@
 	t.busy.Store(&[]target{})
 	t.order.Store(&[]string{})
 	t.byRank.Store(&[]string{opts.Name})
+	t.coordinators.Store(&[]string{opts.Name})
 	return t
 }
 
@@ -199,7 +216,7 @@
 	if name == "" || name == t.opts.Name {
 		return
 	}
-	t.opts.OnPayload(&d.Instance, &d.Payload)
+	t.opts.OnPayload(&d.Instance, &d.Payload, d.Echo.Echoed)
 	if at, ok := d.provenAt(); ok {
 		t.opts.OnProof(d.Proof.End, at)
 	}
@@ -221,7 +238,8 @@
 	} else if old != nil {
 		now.roster = old.roster
 	}
-	return old == nil || old.instance.StoreLost != d.Instance.StoreLost || old.instance.Ready != d.Instance.Ready
+	return old == nil || old.instance.StoreLost != d.Instance.StoreLost || old.instance.Ready != d.Instance.Ready ||
+		old.instance.Leaving != d.Instance.Leaving
 }
 
 // Large reports whether the fleet is so large that only pairs that include a
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/wait"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/peers"
 )
 
@@ -35,8 +36,9 @@
 	n := &node{conn: conn, self: peers.Instance{Name: name, Run: "1", Address: name, PeerAddress: conn.LocalAddr().String(), Ready: true}}
 	n.table = peers.New(peers.Options{
 		Name: name, Self: n.own, Now: n.now, OnProof: n.prove,
-		OnPayload: func(*peers.Instance, *peers.Payload) {},
-		Payload:   func() peers.Payload { return peers.Payload{} }, Prefill: func() map[string]int64 { return nil },
+		OnPayload: func(*peers.Instance, *peers.Payload, boottime.Instant) {}, Clock: boottime.Now,
+		OnPermit: func(*fleetlimit.Message) *fleetlimit.Message { return nil },
+		Payload:  func() peers.Payload { return peers.Payload{} }, Prefill: func() map[string]int64 { return nil },
 		Proof: n.ownProof,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/coordination/peers/roster.go
+++ b/internal/coordination/peers/roster.go
@@ -130,7 +130,9 @@
 			continue
 		}
 		r.running[name] = &entry.Instance
-		if _, known := t.peers[name]; !known && name != t.opts.Name {
+		if known := t.peers[name]; known != nil {
+			known.instance.Leaving = entry.Instance.Leaving
+		} else if name != t.opts.Name {
 			t.peers[name] = &peer{instance: entry.Instance}
 		}
 	}
--- a/internal/coordination/peers/scale_test.go
+++ b/internal/coordination/peers/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -12,8 +13,10 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/peers"
 )
 
@@ -38,6 +41,9 @@
 	conns  map[string]*fakeConn
 	// partition maps each address to its side of a network partition.
 	partition map[string]int
+	// frozen holds the addresses of suspended instances, with the channel that is
+	// closed when they continue.
+	frozen map[string]chan struct{}
 }
 
 type fakeConn struct {
@@ -62,10 +68,35 @@
 	return c
 }
 
+// awaitResumed returns when the instance at an address is not suspended.
+func (n *network) awaitResumed(address string) {
+	n.mu.Lock()
+	resumed := n.frozen[address]
+	n.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
+
+// suspend suspends an instance for a time: it receives later what is sent to it
+// meanwhile, and sends nothing.
+func (n *network) suspend(address string, lasts time.Duration) {
+	resumed := make(chan struct{})
+	n.mu.Lock()
+	n.frozen[address] = resumed
+	n.mu.Unlock()
+	time.Sleep(lasts)
+	n.mu.Lock()
+	delete(n.frozen, address)
+	n.mu.Unlock()
+	close(resumed)
+}
+
 // ReadFrom implements net.PacketConn.
 func (c *fakeConn) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case content := <-c.inbox:
+		c.network.awaitResumed(c.address.String())
 		return copy(b, content), c.address, nil
 	case <-c.closed:
 		return 0, nil, net.ErrClosed
@@ -79,6 +110,9 @@
 	defer n.mu.Unlock()
 	c.bytes, c.datagrams = c.bytes+len(b), c.datagrams+1
 	receiver := n.conns[to.String()]
+	if n.frozen[c.address.String()] != nil {
+		return len(b), nil
+	}
 	if receiver == nil || n.partition[c.address.String()] != n.partition[to.String()] || n.random.Float64() < lossShare {
 		return len(b), nil
 	}
@@ -108,9 +142,11 @@
 type member struct {
 	self  peers.Instance
 	table *peers.Table
-	conn  *fakeConn
-	stop  context.CancelFunc
-	done  chan error
+	// limiter holds the rate limits of backend servers.
+	limiter *fleetlimit.Limiter
+	conn    *fakeConn
+	stop    context.CancelFunc
+	done    chan error
 }
 
 // fleet is a simulated fleet in virtual time.
@@ -118,11 +154,27 @@
 	t       *testing.T
 	network *network
 	members []*member
+	// loads are the functions that stop the loads on the fleet.
+	loads []func()
 }
 
+// discoveryTime is how long instances that start have to find each other.
+const discoveryTime = 3 * time.Second
+
+// virtualClock reads the clock of the synctest bubble, which begins in the year 2000.
+func virtualClock() boottime.Instant {
+	return boottime.Instant(time.Since(time.Date(1999, 1, 1, 0, 0, 0, 0, time.UTC)))
+}
+
+var quietLog = func() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}()
+
 // startFleet starts instances that have added each other from records.
 func startFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, network: &network{random: rand.New(rand.NewPCG(1, uint64(size))), conns: map[string]*fakeConn{}, partition: map[string]int{}}}
+	f := &fleet{t: t, network: &network{random: rand.New(rand.NewPCG(1, uint64(size))), conns: map[string]*fakeConn{}, partition: map[string]int{}, frozen: map[string]chan struct{}{}}}
 	for i := range size {
 		address := fmt.Sprintf("10.%d.%d.%d:7340", i%domains, i/200, i%200+1)
 		m := &member{self: peers.Instance{
@@ -143,14 +195,30 @@
 
 func (f *fleet) start(m *member) {
 	m.conn = f.network.listen(m.self.PeerAddress)
+	startedAt := time.Now()
+	m.limiter = fleetlimit.New(fleetlimit.Options{
+		Name: m.self.Name, Now: virtualClock, Log: quietLog,
+		Coordinator: func(server string) string { return m.table.Coordinator(server) },
+		Share: func() float64 {
+			if time.Since(startedAt) < discoveryTime {
+				return 0
+			}
+			return m.table.RunningShare()
+		},
+		Send:    func(instance string, message *fleetlimit.Message) { m.table.SendPermit(instance, message) },
+		Changed: func() { m.table.Announce() },
+	})
 	m.table = peers.New(peers.Options{
-		Name: m.self.Name, Self: func() peers.Instance { return m.self }, Now: time.Now,
+		Name: m.self.Name, Self: func() peers.Instance { return m.self }, Now: time.Now, Clock: virtualClock,
 		Payload: func() peers.Payload {
-			return peers.Payload{Applied: map[string]int64{"orders.1": 12, "servers.known": 4711, "rollout.done": 3}}
+			return peers.Payload{Applied: map[string]int64{"orders.1": 12, "servers.known": 4711, "rollout.done": 3}, Limits: m.limiter.Reports()}
+		},
+		Prefill: func() map[string]int64 { return nil },
+		Proof:   func() *peers.Proof { return &peers.Proof{End: 12, Age: time.Second} },
+		OnPayload: func(_ *peers.Instance, payload *peers.Payload, sentAfter boottime.Instant) {
+			m.limiter.Merge(payload.Limits, sentAfter)
 		},
-		Prefill:   func() map[string]int64 { return nil },
-		Proof:     func() *peers.Proof { return &peers.Proof{End: 12, Age: time.Second} },
-		OnPayload: func(*peers.Instance, *peers.Payload) {}, OnProof: func(int64, boottime.Instant) {},
+		OnProof: func(int64, boottime.Instant) {}, OnPermit: m.limiter.Handle,
 	})
 	for _, other := range f.members {
 		m.table.Add(other.self)
@@ -168,7 +236,12 @@
 	f.members = slices.DeleteFunc(f.members, func(m *member) bool { return slices.Contains(members, m) })
 }
 
-func (f *fleet) stop() { f.kill(slices.Clone(f.members)...) }
+func (f *fleet) stop() {
+	for _, stopLoad := range f.loads {
+		stopLoad()
+	}
+	f.kill(slices.Clone(f.members)...)
+}
 
 // converged reports whether every instance lists as many running instances as there
 // are.
