Drop a weak answer only once a server is chosen for the stronger model

What callers saw: 502 instead of an answer that was there. A weak answer was closed and the retry budget charged before a server for the stronger model was known; where none was left, the request ended without an answer. Servers that need permits make that common.

Change: the server is chosen first and reserved. If there is none, the weak answer is delivered and the budget is untouched.

Evidence: gateway: TestWeakAnswerIsDeliveredWhereNoServerIsLeft fails before (the answer is dropped with the failure domain out of service) and passes.

--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -90,16 +90,41 @@
 		"confidence": a.reply.Confidence, "queue": queue, "sent": req.sent, "next": req.plan.models[advice.Next].Name,
 		"good": round(advice.Good), "expected": round(advice.Expected),
 	})
-	if !g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, escalationShare, g.Instances()) {
-		entry.Info("weak answer is delivered: the retry budget is exhausted")
+	if cause := g.reserveEscalation(ctx, req, advice.Next, a.reply.Confidence); cause != "" {
+		entry.Info("weak answer is delivered: " + cause)
 		return false
 	}
 	entry.Info("weak answer is dropped in favor of a stronger model")
 	a.close()
-	req.plan.advance(advice.Next, a.reply.Confidence)
 	return true
 }
 
+// reserveEscalation reserves a server for a run of a stronger model, and charges the
+// retry budget for it. A weak answer is dropped only once both are certain. It returns
+// why there is no such run, or "".
+func (g *Gateway) reserveEscalation(ctx context.Context, req *request, next, confidence int) (cause string) {
+	const exhausted = "the retry budget is exhausted"
+	budget, bounds := g.budgetOf(req), &g.boundsNow().Budget
+	if !budget.Allows(time.Now(), bounds, escalationShare, g.Instances()) {
+		return exhausted
+	}
+	before := *req.plan
+	req.plan.advance(next, confidence)
+	choice := g.choose(ctx, req, "")
+	switch {
+	case choice == nil:
+		cause = "no server is available for another run"
+	case !budget.Take(time.Now(), bounds, escalationShare, g.Instances()):
+		choice.backend.Cancel()
+		cause = exhausted
+	default:
+		req.reserved = choice
+		return ""
+	}
+	*req.plan = before
+	return cause
+}
+
 func (g *Gateway) escalationQuestion(req *request, a *attempt) escalation.Question {
 	runs := len(req.plan.models)
 	if req.route.MaxAttempts > 0 {
--- a/internal/coordination/gateway/cascade_test.go
+++ b/internal/coordination/gateway/cascade_test.go
@@ -8,7 +8,10 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/retrybudget"
+	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
 )
@@ -23,11 +26,14 @@
 	logger.SetOutput(io.Discard)
 	g.Options = Options{
 		Servers: table, Log: logrus.NewEntry(logger), AnswerValue: 10, Instances: func() int { return 1 },
-		Bounds: func() Bounds { return Bounds{Budget: retrybudget.Options{Slack: 100, Window: time.Second}} },
+		Limits:    fleetlimit.New(fleetlimit.Options{Now: boottime.Now, Log: logrus.NewEntry(logger)}),
+		Staging:   staging.New(func() float64 { return 0 }, time.Now),
+		DomainOut: func(string) bool { return false },
+		Bounds:    func() Bounds { return Bounds{Budget: retrybudget.Options{Slack: 100, Window: time.Second}} },
 	}
 	route := &routes.Route{Models: []string{"small", "middle", "large"}, MaxAttempts: 3}
 	service := &routes.Service{ModelCosts: map[string]float64{"small": 1, "middle": 8, "large": 16}}
-	req := &request{route: route, service: "s", sent: 1, plan: newCascadePlan(route, service, &Call{AnyModel: true})}
+	req := &request{route: route, service: "s", sent: 1, plan: newCascadePlan(route, service, &Call{AnyModel: true}), index: routes.Compile(&routes.Table{})}
 	a := &attempt{gateway: g, req: req, model: "small", reply: Reply{Confidence: confidence}, choice: &selection{backend: table.Get("a")}, cancel: func() {}}
 	a.choice.snapshot = a.choice.backend.Snapshot()
 	a.settled, a.compared.reported = true, true
@@ -55,6 +61,28 @@
 	}
 }
 
+// TestWeakAnswerIsDeliveredWhereNoServerIsLeft guards against an answer that is dropped
+// although no server can run the stronger model, so that the client gets none.
+func TestWeakAnswerIsDeliveredWhereNoServerIsLeft(t *testing.T) {
+	limited := fleetlimit.Limit{Stated: true, PerSecond: 1}
+	for name, take := range map[string]func(g *Gateway){
+		"failure domain is out": func(g *Gateway) { g.DomainOut = func(string) bool { return true } },
+		"rate limit is used up": func(g *Gateway) {
+			g.Limits.Observe("a", limited, g.Limits.Now())
+			for ok := true; ok; {
+				_, ok = g.Limits.Acquire(t.Context(), "a")
+			}
+		},
+	} {
+		req, a := cascadeRequest(&Gateway{}, 0, 0)
+		take(a.gateway)
+		must.False(t, a.gateway.escalate(t.Context(), req, a), must.Sprint(name))
+		must.Eq(t, "small", req.plan.model())
+		must.Nil(t, req.reserved)
+		must.True(t, a.gateway.budgetOf(req).Take(time.Now(), &a.gateway.boundsNow().Budget, 0.01, 1), must.Sprint("the retry budget is untouched"))
+	}
+}
+
 // TestCascadeSkipsModelThatAddsNothing checks that a middle model that adds
 // nothing is skipped after some requests, and that the answer of the last model
 // is always delivered.
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -167,11 +167,15 @@
 	return a
 }
 
-// prepare chooses a server and encodes the request to it. It
+// prepare chooses a server, unless one is reserved, and encodes the request to it. It
 // returns nil if no server is available.
 func (g *Gateway) prepare(ctx context.Context, req *request, version, lastEventID string) (*attempt, RawRequest) {
 	for {
-		choice := g.choose(ctx, req, version)
+		choice := req.reserved
+		req.reserved = nil
+		if choice == nil {
+			choice = g.choose(ctx, req, version)
+		}
 		if choice == nil {
 			return nil, RawRequest{}
 		}
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -38,6 +38,8 @@
 	staged *staging.Stage
 	// prefix is a hash of the shared prompt prefix; 0 if there is none.
 	prefix uint64
+	// reserved is the server chosen for the next attempt; nil if none is.
+	reserved *selection
 	// tried lists the IDs of the servers of all attempts.
 	tried []string
 	// sent counts the attempts that may have reached a server.
