--- a/internal/coordination/peers/limit_test.go
+++ b/internal/coordination/peers/limit_test.go
@@ -341,6 +341,17 @@
 			clear(f.network.partition)
 			f.network.mu.Unlock()
 		},
+		"coordinator cut off from half of the instances": func(f *fleet, _ *limitedServer) {
+			coordinator, half := coordinatorOf(f).self.PeerAddress, map[string]bool{}
+			for i, m := range f.members {
+				half[m.self.PeerAddress] = i%2 == 0
+			}
+			f.network.mu.Lock()
+			defer f.network.mu.Unlock()
+			f.network.cut = func(from, to string) bool {
+				return (from == coordinator && half[to]) || (to == coordinator && half[from])
+			}
+		},
 		"all restarted": func(f *fleet, s *limitedServer) {
 			members := slices.Clone(f.members)
 			for _, m := range members {
--- a/internal/coordination/peers/scale_test.go
+++ b/internal/coordination/peers/scale_test.go
@@ -41,6 +41,8 @@
 	conns  map[string]*fakeConn
 	// partition maps each address to its side of a network partition.
 	partition map[string]int
+	// cut reports whether datagrams between two addresses are lost; nil means none.
+	cut func(from, to string) bool
 	// frozen holds the addresses of suspended instances, with the channel that is
 	// closed when they continue.
 	frozen map[string]chan struct{}
@@ -110,7 +112,7 @@
 	defer n.mu.Unlock()
 	c.bytes, c.datagrams = c.bytes+len(b), c.datagrams+1
 	receiver := n.conns[to.String()]
-	if n.frozen[c.address.String()] != nil {
+	if n.frozen[c.address.String()] != nil || (n.cut != nil && n.cut(c.address.String(), to.String())) {
 		return len(b), nil
 	}
 	if receiver == nil || n.partition[c.address.String()] != n.partition[to.String()] || n.random.Float64() < lossShare {
