Send the roster to instances that take a large fleet for a small one

What was seen: 24 instances that start one after the other do not find each other; 17 of them list 17, the others 24, for a minute. So they disagree on who coordinates the requests to a server with a rate limit, and on whom clients are sent to. Found by TestInstancesTogetherKeepTheRateLimitOfAServer with 24 instances.

Cause: each instance reads the records of those that started before it. The first ones know at most 20 others, send datagrams to these and poll no leader; the last ones know more, and poll the leaders only. Neither side contacts the other before the records are read again.

Change: datagrams say how many others the sender knows. An instance with a large fleet answers one that takes the fleet for small with its roster.

--- a/internal/coordination/peers/datagram.go
+++ b/internal/coordination/peers/datagram.go
@@ -44,6 +44,9 @@
 	// Permit is a message about a permit. A datagram with one carries nothing else
 	// but the name and the address of its sender.
 	Permit *fleetlimit.Message `cbor:"8,keyasint,omitempty"`
+	// Peers is the number of other instances that the sender knows; 0 if it does not
+	// say.
+	Peers int `cbor:"9,keyasint,omitempty"`
 }
 
 // provenAt returns a lower bound, on the receiver's clock, of the moment to which
--- a/internal/coordination/peers/exchange.go
+++ b/internal/coordination/peers/exchange.go
@@ -60,13 +60,20 @@
 			continue
 		}
 		t.handle(&d)
-		if d.WantsReply {
+		if d.WantsReply || t.knowsLargerFleet(&d) {
 			t.reply(conn, &d)
 		}
 	}
 }
 
-// reply answers a datagram that requests a reply.
+// knowsLargerFleet reports whether the sender of a datagram takes a large fleet for a
+// small one. It polls no leader then, and the instances that it does not know poll only
+// the leaders, so it learns of them only from a roster.
+func (t *Table) knowsLargerFleet(d *datagram) bool {
+	return d.Peers > 0 && d.Peers <= smallFleet && t.Large()
+}
+
+// reply sends the roster to the sender of a datagram.
 func (t *Table) reply(conn net.PacketConn, d *datagram) {
 	to := target{address: d.Instance.PeerAddress, echo: d.Echo.Sent}
 	content := t.content()
@@ -155,7 +162,7 @@
 
 // content returns the part of a datagram that is the same for all receivers.
 func (t *Table) content() datagram {
-	d := datagram{Instance: t.opts.Self(), Payload: t.opts.Payload(), Proof: t.opts.Proof()}
+	d := datagram{Instance: t.opts.Self(), Payload: t.opts.Payload(), Proof: t.opts.Proof(), Peers: t.Known() - 1}
 	if !t.Large() {
 		// In a large fleet sendLoad sends it to those that need it.
 		d.Payload.Prefill = t.opts.Prefill()
--- a/internal/coordination/peers/scale_test.go
+++ b/internal/coordination/peers/scale_test.go
@@ -176,6 +176,16 @@
 
 // startFleet starts instances that have added each other from records.
 func startFleet(t *testing.T, size int) *fleet {
+	f := newFleet(t, size)
+	for _, m := range f.members {
+		f.start(m)
+		time.Sleep(300 * time.Millisecond / time.Duration(size))
+	}
+	return f
+}
+
+// newFleet returns a fleet whose instances are not running.
+func newFleet(t *testing.T, size int) *fleet {
 	f := &fleet{t: t, network: &network{random: rand.New(rand.NewPCG(1, uint64(size))), conns: map[string]*fakeConn{}, partition: map[string]int{}, frozen: map[string]chan struct{}{}}}
 	for i := range size {
 		address := fmt.Sprintf("10.%d.%d.%d:7340", i%domains, i/200, i%200+1)
@@ -188,14 +198,14 @@
 		}
 		f.members = append(f.members, m)
 	}
-	for _, m := range f.members {
-		f.start(m)
-		time.Sleep(300 * time.Millisecond / time.Duration(size))
-	}
 	return f
 }
 
-func (f *fleet) start(m *member) {
+// start starts a member that has read the records of all others.
+func (f *fleet) start(m *member) { f.startAfter(m, f.members) }
+
+// startAfter starts a member that has read the records of some others.
+func (f *fleet) startAfter(m *member, known []*member) {
 	m.conn = f.network.listen(m.self.PeerAddress)
 	startedAt := time.Now()
 	m.limiter = fleetlimit.New(fleetlimit.Options{
@@ -222,7 +232,7 @@
 		},
 		OnProof: func(int64, boottime.Instant) {}, OnPermit: m.limiter.Handle,
 	})
-	for _, other := range f.members {
+	for _, other := range known {
 		m.table.Add(other.self)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -340,6 +350,25 @@
 	}
 }
 
+// TestInstancesThatStartInSequenceMeet: each instance reads the records of those that
+// started before it. It guards against a fleet of which the first instances know too
+// few others to poll the leaders, and the last ones poll only the leaders.
+func TestInstancesThatStartInSequenceMeet(t *testing.T) {
+	for _, size := range []int{8, 20, 21, 22, 24, 30, 60} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, size)
+				defer f.stop()
+				for i, m := range f.members {
+					f.startAfter(m, f.members[:i])
+					time.Sleep(20 * time.Millisecond)
+				}
+				f.convergeWithin(detectionLimit, "start in sequence")
+			})
+		})
+	}
+}
+
 // TestDeathIsKnownEverywhere: all instances detect the failure of a member, of all
 // leaders, of a failure domain, and of most of the fleet at once.
 func TestDeathIsKnownEverywhere(t *testing.T) {
