--- a/internal/coordination/fleetlimit/coordinator.go
+++ b/internal/coordination/fleetlimit/coordinator.go
@@ -15,9 +15,6 @@
 	// servers with a limit tolerate.
 	burstTime = 500 * time.Millisecond
 	minBurst  = 2
-	// turnsPerPermit is the number of instances that are told to ask for each
-	// permit, since some no longer need it then.
-	turnsPerPermit = 1.5
 	// minRate is the rate, in requests per second, at which a server with a limit
 	// of zero or close to it is still used, since only its answers show that the
 	// limit has ended.
@@ -66,7 +63,7 @@
 	}
 	interval := time.Duration(float64(time.Second) / perSecond)
 	next := at.Add(time.Duration((1 - b.tokens.TokensAt(at)) * float64(interval)))
-	if turn := b.lastTurn.Add(time.Duration(float64(interval) / turnsPerPermit)); turn.After(next) {
+	if turn := b.lastTurn.Add(interval); turn.After(next) {
 		next = turn
 	}
 	if latest := at.Add(maxWait); next.After(latest) {
