Ask more servers for a permit where all of a service have limits

What callers would have seen: where every server of a service states a limit, a request was refused after four refused permits although others had some left, and each server whose coordinator does not reply delayed it by 100 ms.

Change: after four refused permits servers without a limit are preferred, and for 100 ms those with one are still asked. A coordinator that did not reply is not asked for 300 ms for any of its servers.

--- a/internal/coordination/fleetlimit/fleetlimit.go
+++ b/internal/coordination/fleetlimit/fleetlimit.go
@@ -69,6 +69,9 @@
 	next atomic.Int64
 	// pending holds the requests for permits that await a reply.
 	pending sync.Map // ID to chan *Message
+	// silent holds the coordinators that did not reply, and until when they are not
+	// asked.
+	silent sync.Map // name to boottime.Instant
 	// granted and refused count the results of Acquire for servers with a limit.
 	granted, refused atomic.Int64
 }
--- a/internal/coordination/fleetlimit/permit.go
+++ b/internal/coordination/fleetlimit/permit.go
@@ -18,8 +18,8 @@
 	// minWait is the minimum time for which a server is not used after a permit was
 	// refused.
 	minWait = 10 * time.Millisecond
-	// unansweredPause is how long a server is not used after a coordinator has not
-	// replied.
+	// unansweredPause is how long a coordinator that has not replied is not asked
+	// again.
 	unansweredPause = 300 * time.Millisecond
 )
 
@@ -106,6 +106,12 @@
 		granted, wait = l.grant(s)
 		return granted, wait, "rate"
 	}
+	if silentUntil, ok := l.silent.Load(coordinator); ok {
+		if wait = silentUntil.(boottime.Instant).Since(askedAt); wait > 0 {
+			return false, wait, "coordinator_silent"
+		}
+		l.silent.Delete(coordinator)
+	}
 	id := rand.Uint64()
 	replies := make(chan *Message, 1)
 	l.pending.Store(id, replies)
@@ -118,6 +124,7 @@
 		l.Merge([]Report{reply.Report}, askedAt)
 		return reply.Granted, reply.Wait, "rate"
 	case <-timeout.C:
+		l.silent.Store(coordinator, l.opts.Now()+boottime.Instant(unansweredPause))
 		return false, unansweredPause, "no_reply"
 	case <-ctx.Done():
 		return false, 0, "request_ended"
--- a/internal/coordination/fleetlimit/permit_test.go
+++ b/internal/coordination/fleetlimit/permit_test.go
@@ -108,6 +108,25 @@
 	})
 }
 
+// TestSilentCoordinatorDelaysFewRequests: a coordinator that does not reply delays one
+// request, not one for each of its servers.
+func TestSilentCoordinatorDelaysFewRequests(t *testing.T) {
+	inPair(t, stated(4), func(t *testing.T, p *pair) {
+		p.deliver = func(*Message, func()) {}
+		began := time.Now()
+		for _, id := range []string{"s", "s2", "s3", "s4"} {
+			p.other.Observe(id, stated(4), p.other.Now()-1)
+			_, ok := p.other.Acquire(t.Context(), id)
+			must.False(t, ok)
+		}
+		must.Eq(t, permitLifetime, time.Since(began))
+		p.deliver = func(_ *Message, pass func()) { pass() }
+		time.Sleep(unansweredPause)
+		_, ok := p.other.Acquire(t.Context(), "s2")
+		must.True(t, ok)
+	})
+}
+
 // TestOnlyTheCoordinatorGrants: an instance that is asked by mistake, and one that does
 // not know the fleet yet, refuse, since another one may grant permits.
 func TestOnlyTheCoordinatorGrants(t *testing.T) {
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -97,24 +97,23 @@
 	// maxPicks bounds how often a choice is repeated because the chosen server
 	// reached its concurrency limit in the meantime.
 	maxPicks = 3
-	// maxPermitRequests bounds how many permits a choice requests. If none is
-	// granted, it considers only servers without a rate limit.
+	// maxPermitRequests is the number of refused permits after which a choice
+	// prefers servers without a rate limit, and maxPermitTime the time after which
+	// it considers no others.
 	maxPermitRequests = 4
+	maxPermitTime     = 100 * time.Millisecond
 )
 
 func (g *Gateway) pick(ctx context.Context, req *request, stage staging.Stage, unconfirmed bool) *selection {
 	list := backends.List(g.Servers.Serving(req.service))
 	service := req.index.Service(req.service)
 	prompt := g.estimate(req)
-	refused := 0
+	began, refused := time.Now(), 0
 	for picks := 0; picks < maxPicks && ctx.Err() == nil; {
 		now := time.Now()
-		route := g.routingRequest(req, service, prompt, stage, unconfirmed, now)
-		if refused >= maxPermitRequests {
-			route.Admit = g.admitUnlimited(route.Admit)
-		}
-		chosen := routing.Decide(route, list, rand.New(random{})).Chosen()
-		if chosen == nil {
+		late := refused > 0 && now.Sub(began) >= maxPermitTime
+		chosen := g.decide(g.routingRequest(req, service, prompt, stage, unconfirmed, now), list, late || refused >= maxPermitRequests)
+		if chosen == nil || (late && g.Limits.Limited(chosen.Server.Server.ID)) {
 			return nil
 		}
 		backend := list[chosen.Index]
@@ -139,6 +138,19 @@
 	return nil
 }
 
+// decide chooses among the servers, with preferUnlimited among those without a rate
+// limit first. It returns nil if none is available.
+func (g *Gateway) decide(route *routing.Request, list backends.List, preferUnlimited bool) *routing.Candidate {
+	if preferUnlimited {
+		unlimited := *route
+		unlimited.Admit = g.admitUnlimited(route.Admit)
+		if chosen := routing.Decide(&unlimited, list, rand.New(random{})).Chosen(); chosen != nil {
+			return chosen
+		}
+	}
+	return routing.Decide(route, list, rand.New(random{})).Chosen()
+}
+
 // admitUnlimited restricts admit to servers without a rate limit.
 func (g *Gateway) admitUnlimited(admit func(*backends.Snapshot) string) func(*backends.Snapshot) string {
 	return func(server *backends.Snapshot) string {
