Answer a permit request without a known limit with the report it came with

The reply stated that the server has no limit at the moment of the reply, which nobody had seen. No case is known in which that mattered. The address of a peer is read under the lock.

--- a/internal/coordination/fleetlimit/permit.go
+++ b/internal/coordination/fleetlimit/permit.go
@@ -149,8 +149,8 @@
 	reply := &Message{ID: m.ID, Reply: true}
 	s := l.server(id)
 	if s == nil {
-		// The limit has been forgotten by both.
-		reply.Granted, reply.Report = true, Report{Server: id}
+		// Neither instance knows a limit.
+		reply.Granted, reply.Report = true, m.Report
 		return reply
 	}
 	if l.opts.Coordinator(id) == l.opts.Name {
--- a/internal/coordination/peers/exchange.go
+++ b/internal/coordination/peers/exchange.go
@@ -91,12 +91,20 @@
 // SendPermit sends a message about a permit to an instance. It is dropped if the
 // instance is not known.
 func (t *Table) SendPermit(instance string, m *fleetlimit.Message) {
+	if conn, address := t.conn.Load(), t.peerAddress(instance); conn != nil && address != "" {
+		t.sendPermitTo(*conn, m, address)
+	}
+}
+
+// peerAddress returns the address of another instance for datagrams; empty if it is
+// not known.
+func (t *Table) peerAddress(instance string) string {
 	t.mu.Lock()
-	p := t.peers[instance]
-	t.mu.Unlock()
-	if conn := t.conn.Load(); conn != nil && p != nil {
-		t.sendPermitTo(*conn, m, p.instance.PeerAddress)
+	defer t.mu.Unlock()
+	if p := t.peers[instance]; p != nil {
+		return p.instance.PeerAddress
 	}
+	return ""
 }
 
 func (t *Table) sendPermitTo(conn net.PacketConn, m *fleetlimit.Message, address string) {
