--- a/internal/coordination/keyedlog/bootstrap_test.go
+++ b/internal/coordination/keyedlog/bootstrap_test.go
@@ -82,3 +82,41 @@
 		})
 	}
 }
+
+// publishingReader records whether the follower already counts as loaded when its reader
+// is told to publish the records.
+type publishingReader struct {
+	view
+	follower       *Follower
+	loadedTooEarly bool
+}
+
+func (r *publishingReader) CaughtUp() {
+	r.view.CaughtUp()
+	r.loadedTooEarly = r.loadedTooEarly || r.follower.Loaded()
+}
+
+// TestFirstSnapshotIsPublishedBeforeTheFollowerIsLoaded guards against an instance that
+// says it is ready, and refuses requests, since the servers that it has read are not yet
+// in use.
+func TestFirstSnapshotIsPublishedBeforeTheFollowerIsLoaded(t *testing.T) {
+	store := &fakeStore{}
+	store.put("server", "1")
+	relay := fakeRelay{}
+	leader := newFollower(store, &view{}, relay, true)
+	must.NoError(t, leader.step(t.Context()))
+	relay["leader"] = leader
+	for name, f := range map[string]*Follower{
+		"store": newFollower(store, &view{}, relay, true),
+		"peer":  newBootstrapFollower(store, &view{}, relay, time.Minute),
+	} {
+		reader := &publishingReader{follower: f}
+		reader.values = map[string]string{}
+		f.opts.Reader = reader
+		f.ObservePeer(leader.Applied(), "leader")
+		must.NoError(t, f.step(t.Context()))
+		must.True(t, f.Loaded(), must.Sprint(name))
+		must.Eq(t, 1, reader.replies, must.Sprint(name))
+		must.False(t, reader.loadedTooEarly, must.Sprint(name))
+	}
+}
--- a/internal/coordination/keyedlog/follower.go
+++ b/internal/coordination/keyedlog/follower.go
@@ -311,8 +311,8 @@
 		f.apply(p.Records, p.Next)
 	}
 	f.next = p.Next
-	f.applied.Store(p.Next)
 	f.opts.Reader.CaughtUp()
+	f.applied.Store(p.Next)
 	return nil
 }
 
@@ -326,11 +326,13 @@
 func (f *Follower) advance(next, end int64, started boottime.Instant) {
 	f.next = next
 	f.end.Store(end)
-	f.applied.Store(next)
 	if next < end {
+		f.applied.Store(next)
 		return
 	}
+	// The records are published before the follower counts as loaded.
 	f.opts.Reader.CaughtUp()
+	f.applied.Store(next)
 	f.readAt.Store(int64(started))
 	f.prove(started)
 }
