--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -202,7 +202,7 @@
 	}
 	b.mu.Lock()
 	places := b.places
-	if b.waiting >= b.queue {
+	if b.running+b.waiting >= b.slots+b.queue {
 		b.mu.Unlock()
 		b.reject(w, http.StatusServiceUnavailable)
 		return
