--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin"
 export GOTOOLCHAIN=local GOFLAGS="${GOFLAGS:-} -buildvcs=false -mod=mod" GOPROXY=off GOWORK=off
-exec go build -o ../bin/standin .
+exec go build -trimpath -o ../bin/standin .
