--- a/review/_standin/case_rollout.go
+++ b/review/_standin/case_rollout.go
@@ -167,7 +167,7 @@
 	}
 	allowed := exposeShare*float64(all) + exposeSlack
 	seen := "EXPOSURE: of " + strconv.Itoa(all) + " requests between the order and its deadline, the bad version got " + strconv.Itoa(exposed) +
-		fmt.Sprintf(" (allowed: %.0f); %d ran on it more than a second after rolled_back, and %d requests sent after that were answered 500;", allowed, afterRollback, failed) +
+		fmt.Sprintf(" (allowed: %.0f); %d ran on it more than a second after it was rolled back or another version was ordered, and %d requests sent after that were answered 500;", allowed, afterRollback, failed) +
 		fmt.Sprintf(" it had %d bad answers, and %d requests that were sent over 5 s after the 50th", len(badTimes), late)
 	return float64(exposed) > allowed || late > 0, seen, nil
 }
