--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -118,14 +118,15 @@
 var zones = []string{"windhoek-a", "windhoek-b", "windhoek-c"}
 
 // startFleet starts instances on free loopback addresses and waits until they are ready.
-func startFleet(count, memoryMB int, storeAddress string, rec *recorder) (*fleet, error) {
+// storeAddress returns the address of the store for each of them.
+func startFleet(count, memoryMB int, storeAddress func(n int) string, rec *recorder) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "medlarslip-review-")
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{folder: folder, root: os.Getenv("REVIEW_ROOT"), rec: rec}
 	for n := range count {
-		i, err := f.prepare(n, memoryMB, storeAddress)
+		i, err := f.prepare(n, memoryMB, storeAddress(n))
 		if err != nil {
 			return f, err
 		}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -119,7 +119,7 @@
 		}
 		w.servers.add(b)
 	}
-	f, err := startFleet(instances, memoryMB, w.store.address(), w.rec)
+	f, err := startFleet(instances, memoryMB, w.store.addressFor, w.rec)
 	w.fleet = f
 	if err != nil {
 		return err
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -19,6 +19,8 @@
 	topics   map[string]*topic
 	listener net.Listener
 	server   *http.Server
+	// doors holds the doors of the instances that have one of their own.
+	doors []*door
 }
 
 type topic struct {
@@ -47,6 +49,14 @@
 
 func (s *store) address() string { return s.listener.Addr().String() }
 
+// addressFor returns the address at which the instance of a number reaches the store.
+func (s *store) addressFor(n int) string {
+	if n < len(s.doors) {
+		return s.doors[n].listener.Addr().String()
+	}
+	return s.address()
+}
+
 func (s *store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
