--- a/review/_standin/case_hang.go
+++ b/review/_standin/case_hang.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -152,6 +153,7 @@
 		}
 	}
 	hung := hungInstances(w, since)
+	w.fleet.describe(func(i *instance) bool { return slices.Contains(hung, i.front) })
 	seen := fmt.Sprintf("CONFIG: of %d requests, %d were unanswered at timeoutMs, and %d of these 0.5 s later; %d of %d instances answer no request any more",
 		all, late, never, len(hung), len(w.fleet.instances))
 	return never >= hungRequests && 2*never > late, seen, nil
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -247,3 +249,40 @@
 	}
 	return nil
 }
+
+// graceTime is graceS.
+const graceTime = 8 * time.Second
+
+// describe records whether some instances say that they are ready, which addresses their
+// directories name, and whether they end within graceS of a SIGTERM.
+func (f *fleet) describe(match func(*instance) bool) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var described []*instance
+	for _, i := range f.instances {
+		if !match(i) {
+			continue
+		}
+		described = append(described, i)
+		for _, url := range []string{"http://" + i.ready + "/api/readiness", "http://" + i.directory + "/api/resolve?name=records.example&region=windhoek&zone=" + i.zone} {
+			resp, err := client.Get(url)
+			if err != nil {
+				f.rec.line("%s: %v", i.name, err)
+				continue
+			}
+			body, _ := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			f.rec.line("%s at %s answers %s with %d: %s", i.name, i.front, url, resp.StatusCode, body)
+		}
+		_ = i.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	grace := time.After(graceTime)
+	for _, i := range described {
+		select {
+		case <-i.exited:
+			f.rec.line("%s has ended after SIGTERM", i.name)
+		case <-grace:
+			f.rec.line("%s has not ended %s after SIGTERM", i.name, graceTime)
+			return
+		}
+	}
+}
