--- a/cmd/medlarslip-config/main.go
+++ b/cmd/medlarslip-config/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -15,7 +16,7 @@
   keygen -out FILE      make an operator's key pair; prints the public key
   shared-key -out FILE  make the key that all entry instances share
   hash-key              read an API key from standard input; print its hash
-  check -document FILE  check a document
+  check FILE|-          check a document or a configuration of the platform
   publish               sign a document and publish it
   show                  print the document in force
   audit                 print every change that the log keeps, in order
@@ -25,6 +26,11 @@
 // command is the function of one subcommand; args are its flags.
 type command func(args []string) error
 
+// exitStatus is the error of a command that has printed its messages.
+type exitStatus int
+
+func (s exitStatus) Error() string { return fmt.Sprintf("exit status %d", int(s)) }
+
 func main() {
 	commands := map[string]command{
 		"keygen":     keygen,
@@ -40,10 +46,16 @@
 		fmt.Fprint(os.Stderr, usage)
 		os.Exit(2)
 	}
-	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	err := commands[os.Args[1]](os.Args[2:])
+	if err == nil {
+		return
+	}
+	var status exitStatus
+	if errors.As(err, &status) {
+		os.Exit(int(status))
 	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
 }
 
 func printVersion([]string) error {
--- a/cmd/medlarslip-config/publish.go
+++ b/cmd/medlarslip-config/publish.go
@@ -10,17 +10,6 @@
 	"medlarslip/internal/protocol/settings"
 )
 
-func check(args []string) error {
-	flags := flag.NewFlagSet("check", flag.ExitOnError)
-	path := flags.String("document", "", "file with the document")
-	_ = flags.Parse(args)
-	if _, err := readDocument(*path); err != nil {
-		return err
-	}
-	fmt.Println("document is valid")
-	return nil
-}
-
 func readDocument(path string) (*document.Document, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/cmd/medlarslip-entry/main.go
+++ b/cmd/medlarslip-entry/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"runtime/debug"
+
 	"medlarslip/internal/daemon"
 	"medlarslip/internal/instance"
 	"medlarslip/internal/protocol/settings"
@@ -15,6 +17,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if limit := s.Limits.HeapBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	sharedKey, err := settings.LoadSharedKey(s.Keys.SharedKeyFile)
 	if err != nil {
 		return nil, err
--- a/cmd/medlarslip-explain/main.go
+++ b/cmd/medlarslip-explain/main.go
@@ -1,5 +1,6 @@
 // Command medlarslip-explain reports from the logs of instances why requests
-// were refused, failed or were late: one line per cause, the most frequent first.
+// were refused, failed or were late: one line per cause, the most frequent first. Where requests
+// have a size it then prints a line for each route and size.
 package main
 
 import (
--- a/cmd/standin-metastore/main.go
+++ b/cmd/standin-metastore/main.go
@@ -18,15 +18,16 @@
 func main() {
 	listen := flag.String("listen", "127.0.0.1:8301", "address of the store")
 	count := flag.Int("servers", 2, "number of backend servers of each service")
+	maxBody := flag.Int64("max-body", standin.DemoMaxBody, "limit of request bodies in bytes")
 	flag.Parse()
-	if err := run(*listen, *count); err != nil {
+	if err := run(*listen, *count, *maxBody); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(listen string, count int) error {
-	store, err := standin.NewDemo(count)
+func run(listen string, count int, maxBody int64) error {
+	store, err := standin.NewDemo(count, maxBody)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/billing/billing.go
+++ b/internal/coordination/billing/billing.go
@@ -29,7 +29,7 @@
 	finishTimeout            = time.Minute
 	maxBackOff               = 10 * time.Second
 	// MaxPendingBytes is the size of pending bills at which an instance refuses
-	// new requests. One hour at 11 requests a second takes half of it.
+	// new requests, unless LimitPending sets a lower one. One hour at 11 requests a second takes half of it.
 	MaxPendingBytes = 24 << 20
 )
 
@@ -60,6 +60,8 @@
 	writer  records.Writer
 	batcher *copyBatcher
 	copier  Copier
+	// maxBytes is the size of pending bills at which Full returns true.
+	maxBytes int
 
 	mu      sync.Mutex
 	pending []pendingBill
@@ -85,16 +87,25 @@
 		writer:   records.Writer{Instance: instance, Incarnation: incarnation},
 		batcher:  newCopyBatcher(copier),
 		copier:   copier,
+		maxBytes: MaxPendingBytes,
 		appended: make(chan struct{}),
 		flushNow: make(chan struct{}, 1),
 	}
 }
 
-// Full reports whether the pending bills have reached MaxPendingBytes.
+// LimitPending sets the size of pending bills at which Full returns true, if it is lower than MaxPendingBytes; 0 leaves
+// that. It must be called before the first bill.
+func (w *Writer) LimitPending(bytes int64) {
+	if bytes > 0 {
+		w.maxBytes = int(min(bytes, MaxPendingBytes))
+	}
+}
+
+// Full reports whether the pending bills have reached their limit.
 func (w *Writer) Full() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.bytes >= MaxPendingBytes
+	return w.bytes >= w.maxBytes
 }
 
 // Bill adds one bill and returns once it would survive the failure of this
--- a/internal/coordination/billing/holder.go
+++ b/internal/coordination/billing/holder.go
@@ -23,7 +23,7 @@
 	takeOverDelay = 30 * time.Second
 	// takeOverInterval is the time between two checks for silent owners.
 	takeOverInterval = 5 * time.Second
-	// MaxHeldBytes is the maximum size of the copies held for other instances.
+	// MaxHeldBytes is the maximum size of the copies held for other instances, unless Limit sets a lower one.
 	MaxHeldBytes = 32 << 20
 )
 
@@ -32,7 +32,7 @@
 	takenOverBills = expvar.NewInt("billing_taken_over")
 )
 
-// ErrHolderFull is the kind of error where a holder has reached MaxHeldBytes.
+// ErrHolderFull is the kind of error where a holder has reached its limit.
 var ErrHolderFull = merry.Sentinel("this instance holds no further copies of bills; copy them to another")
 
 // CopyHolder holds copies of the bills of other instances, and appends them if
@@ -40,6 +40,8 @@
 type CopyHolder struct {
 	log eventlog.Log
 	now func() time.Time
+	// maxBytes is the maximum size of the copies.
+	maxBytes int
 
 	mu     sync.Mutex
 	owners map[writerID]*heldBills
@@ -57,7 +59,15 @@
 
 // NewCopyHolder returns a holder without copies that appends to the given log.
 func NewCopyHolder(log eventlog.Log) *CopyHolder {
-	return &CopyHolder{log: log, now: time.Now, owners: map[writerID]*heldBills{}}
+	return &CopyHolder{log: log, now: time.Now, maxBytes: MaxHeldBytes, owners: map[writerID]*heldBills{}}
+}
+
+// Limit sets the maximum size of the copies, if it is lower than MaxHeldBytes; 0 leaves that. It must be called before
+// the first message.
+func (h *CopyHolder) Limit(bytes int64) {
+	if bytes > 0 {
+		h.maxBytes = int(min(bytes, MaxHeldBytes))
+	}
 }
 
 // Hold processes a message of an owner: it stores the copies, and drops those that
@@ -88,7 +98,7 @@
 		if err != nil {
 			return err
 		}
-		if h.bytes+len(raw) > MaxHeldBytes {
+		if h.bytes+len(raw) > h.maxBytes {
 			return ErrHolderFull
 		}
 		sequence := bills[i].Writer.Sequence
--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -38,8 +38,8 @@
 	retryAfter    = time.Second
 	// maxKeptBytes bounds the body of an answer that is kept for repeated calls.
 	maxKeptBytes = 16 << 10
-	// MaxKeys bounds the number of keys in memory, at about 560 bytes each. At
-	// the bound, new keys are refused and no key is evicted.
+	// MaxKeys bounds the number of keys in memory. At the bound, new keys are
+	// refused and no key is evicted.
 	MaxKeys = 100_000
 	// callSlack is added to the timeout of a call before a repeated call treats
 	// its outcome as lost.
@@ -89,6 +89,12 @@
 	breaker      appendBreaker
 	shards       [ShardCount]*shard
 	outcomes     sync.WaitGroup
+	// answers bounds the answers in memory, and answerReads has a place for each read of a dropped one.
+	answers     answerMemory
+	answerReads chan struct{}
+	// pageRecords is the maximum of records that are read at once.
+	pageRecords int
+	keys        keyMemory
 }
 
 // New returns a coordinator that writes as the given instance, and that appends
@@ -100,9 +106,12 @@
 		owns:     owns,
 		writer:   records.Writer{Instance: instance, Incarnation: incarnation},
 		now:      time.Now,
+
+		answerReads: make(chan struct{}, answerReads),
+		pageRecords: readLimit,
 	}
 	for i := range c.shards {
-		c.shards[i] = newShard()
+		c.shards[i] = newShard(&c.answers, &c.keys)
 	}
 	return c
 }
@@ -139,17 +148,20 @@
 }
 
 // record appends an outcome, and retries until the log confirms it; then it
-// closes the returned channel. The retries continue after the caller's request
+// calls confirmed and closes the returned channel. The retries continue after the caller's request
 // has ended.
-func (c *Coordinator) record(record records.Claim) <-chan struct{} {
+func (c *Coordinator) record(record records.Claim, confirmed func()) <-chan struct{} {
 	done := make(chan struct{})
 	pendingWrites.Add(1)
 	c.outcomes.Go(func() {
 		defer close(done)
 		defer pendingWrites.Add(-1)
-		_, _ = backoff.Retry(context.Background(), func() (struct{}, error) {
+		_, err := backoff.Retry(context.Background(), func() (struct{}, error) {
 			return struct{}{}, c.append(context.Background(), record)
 		}, backoff.WithBackOff(outcomeBackOff()), backoff.WithMaxElapsedTime(0))
+		if err == nil {
+			confirmed()
+		}
 	})
 	return done
 }
--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -43,10 +43,15 @@
 
 func start(log eventlog.Log, instance string) (*claims.Coordinator, context.CancelFunc) {
 	c := claims.New(log, logAppender{log}, func(int) bool { return true }, instance, "first")
+	return c, follow(c)
+}
+
+// follow makes an instance follow the log until the returned function is called.
+func follow(c *claims.Coordinator) context.CancelFunc {
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _ = c.Run(ctx) }()
 	synctest.Wait()
-	return c, stop
+	return stop
 }
 
 func callOf(key string) claims.Call {
@@ -225,3 +230,55 @@
 		must.Eq(t, refusal.Unknown, refused.Outcome)
 	})
 }
+
+// TestOutcomeAfterAGapOfItsClaim guards against a call that runs twice: an instance has read the release of a key, then
+// misses the next claim of the key, and reads the outcome of that claim. The key must not stay free, since a checkpoint
+// does not have to cover a claim whose outcome follows the gap.
+func TestOutcomeAfterAGapOfItsClaim(t *testing.T) {
+	for _, step := range []records.ClaimStep{records.ClaimDone, records.ClaimUnknown} {
+		t.Run(string(step), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logservice.New(0)
+				appendClaim := func(r records.Claim) {
+					r.Account, r.Key, r.Fingerprint = callOf("key").Account, "key", callOf("key").Fingerprint
+					raw, err := json.Marshal(r)
+					must.NoError(t, err)
+					_, err = log.Append(t.Context(), platform.StreamClaims, []json.RawMessage{raw})
+					must.NoError(t, err)
+				}
+				appendClaim(records.Claim{Step: records.ClaimStart, ClaimID: "first claim"})
+				appendClaim(records.Claim{Step: records.ClaimReleased, ClaimID: "first claim"})
+				c, stop := start(log, "entry-1")
+				defer stop()
+				must.Eq(t, 2, c.Position())
+				log.OnRead(func(string, int64) logservice.Fault { return logservice.FaultRefuse })
+				time.Sleep(time.Minute)
+				appendClaim(records.Claim{Step: records.ClaimStart, ClaimID: "second claim", Seen: 2})
+				log.Trim(platform.StreamClaims, 3)
+				outcome := records.Claim{Step: step, ClaimID: "second claim"}
+				if step == records.ClaimDone {
+					outcome.Answer = &records.KeptAnswer{Status: 201}
+				}
+				appendClaim(outcome)
+				for shard := range claims.ShardCount {
+					appendClaim(records.Claim{Step: records.ClaimCheckpoint, Shard: shard, Through: 3})
+				}
+				log.SetOutage(false)
+				time.Sleep(time.Minute)
+				_, refused := c.Do(t.Context(), callOf("new"), sendAnswered)
+				must.Nil(t, refused, must.Sprint(refused)) // the gap is covered
+				got, refused := c.Do(t.Context(), callOf("key"), func(ctx context.Context) (*records.KeptAnswer, bool, error) {
+					t.Error("the call ran a second time")
+					return sendAnswered(ctx)
+				})
+				if step == records.ClaimUnknown {
+					must.NotNil(t, refused)
+					must.Eq(t, refusal.Unknown, refused.Outcome)
+					return
+				}
+				must.Nil(t, refused, must.Sprint(refused))
+				must.Eq(t, 201, got.Status)
+			})
+		})
+	}
+}
--- a/internal/coordination/claims/follow.go
+++ b/internal/coordination/claims/follow.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	readLimit = 500              // records per page
-	readWait  = 10 * time.Second // maximum wait of one read for the next record
+	readLimit = 500 // maximum of records per page
+	// pageRecordBytes is the memory of a record with the largest answer while its page is read: its answer in
+	// base64 in the response and in the decoded page.
+	pageRecordBytes = 2 * (maxKeptBytes*4/3 + 1<<10)
+	readWait        = 10 * time.Second // maximum wait of one read for the next record
 	// retryDelay is the delay after a failed read, and the first one after a
 	// failed append of an outcome.
 	retryDelay = 200 * time.Millisecond
@@ -48,7 +51,7 @@
 	if !c.caughtUp.Load() {
 		wait = 0
 	}
-	page, err := c.log.Read(ctx, platform.StreamClaims, from, readLimit, wait)
+	page, err := c.log.Read(ctx, platform.StreamClaims, from, c.pageRecords, wait)
 	if err != nil {
 		return err
 	}
@@ -97,6 +100,7 @@
 		return
 	}
 	result, waited := c.shards[index].applyRecord(offset, &record, c.now())
+	c.answers.enforce()
 	if result == effectAccepted && !waited && c.isOwn(record.Writer) {
 		c.releaseLate(&record)
 	}
@@ -114,7 +118,7 @@
 		return
 	}
 	lateReleases.Add(1)
-	c.record(records.Claim{Step: records.ClaimReleased, Account: record.Account, Key: record.Key, ClaimID: record.ClaimID})
+	c.record(records.Claim{Step: records.ClaimReleased, Account: record.Account, Key: record.Key, ClaimID: record.ClaimID}, func() {})
 }
 
 // complete reports whether this instance has every claim of the window in a
--- a/internal/coordination/claims/harness_test.go
+++ b/internal/coordination/claims/harness_test.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
 	"medlarslip/internal/coordination/claims"
@@ -30,6 +33,8 @@
 	nodes   []*node
 	// status is true if the service has a status query.
 	status bool
+	// answers is the limit of the memory of answers at each node, or 0 for none.
+	answers int64
 
 	mu   sync.Mutex
 	sent map[string]int // number of sends, by request
@@ -49,8 +54,10 @@
 	done       chan struct{}
 }
 
-func newFleet(size int, status bool) *fleet {
-	f := &fleet{log: logservice.New(0), service: serviceserver.New(), status: status, sent: map[string]int{}}
+func newFleet(size int, status bool) *fleet { return newLimitedFleet(size, status, 0) }
+
+func newLimitedFleet(size int, status bool, answers int64) *fleet {
+	f := &fleet{log: logservice.New(0), service: serviceserver.New(), status: status, answers: answers, sent: map[string]int{}}
 	for i := range size {
 		f.nodes = append(f.nodes, f.start(fmt.Sprint("entry-", i)))
 	}
@@ -61,6 +68,7 @@
 	n := &node{fleet: f, id: id, done: make(chan struct{})}
 	n.owner = claims.NewOwnerAppender(n, id, f, n)
 	n.bookings = claims.New(n, n.owner, n.owner.Owns, id, id+"-incarnation")
+	n.bookings.LimitAnswers(f.answers, 0)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go func() {
@@ -225,3 +233,15 @@
 	}
 	return ""
 }
+
+// allClaims returns the records of the claims stream.
+func allClaims(t *testing.T, log *logservice.Service) []records.Claim {
+	t.Helper()
+	page, err := log.Read(t.Context(), platform.StreamClaims, 0, math.MaxInt, 0)
+	must.NoError(t, err)
+	found := make([]records.Claim, len(page.Records))
+	for i, raw := range page.Records {
+		must.NoError(t, json.Unmarshal(raw, &found[i]))
+	}
+	return found
+}
--- a/internal/coordination/claims/machine.go
+++ b/internal/coordination/claims/machine.go
@@ -3,7 +3,7 @@
 import "medlarslip/internal/protocol/records"
 
 // phase is the progress of the call of one key, according to the log alone.
-type phase int
+type phase uint8
 
 const (
 	// phaseFree means that no call with the key was sent, and that no claim read
@@ -23,8 +23,10 @@
 	phase       phase
 	claimID     string
 	fingerprint string
-	answer      *records.KeptAnswer
-	// offset is that of the latest record of the claim that holds the key.
+	// answer is nil in phaseDone if it was dropped from memory.
+	answer *records.KeptAnswer
+	// offset is that of the latest record of the claim that holds the key which has its phase, and thus of the
+	// record that holds its answer.
 	offset int64
 	// fence voids every claim whose writer had not read the log up to this
 	// offset when its request arrived. It follows the latest record for which a
@@ -123,10 +125,18 @@
 	if s.phase != phaseFree && s.claimID != r.ClaimID {
 		return s
 	}
+	if s.phase > to || s.phase == to && to == phaseDone && r.Answer == nil {
+		// The offset stays that of the record with the answer, which this one lacks.
+		return s
+	}
+	if s.phase == to && s.answer != nil && !s.answer.FromStatus && r.Answer.FromStatus {
+		// The writer did not find the answer of the call in the log, and took that of a status request.
+		return s
+	}
 	if s.phase < to {
-		s.phase, s.claimID, s.fingerprint, s.answer = to, r.ClaimID, r.Fingerprint, r.Answer
+		s.phase, s.claimID, s.fingerprint = to, r.ClaimID, r.Fingerprint
 	}
-	s.offset = max(s.offset, offset)
+	s.answer, s.offset = r.Answer, offset
 	return s
 }
 
--- a/internal/coordination/claims/model_test.go
+++ b/internal/coordination/claims/model_test.go
@@ -33,9 +33,11 @@
 
 type modelRequest struct {
 	arrived, claimed, sent, mustNotSend bool
-	step                                step
-	seen                                int64
-	reply                               string
+	// confirmed means that the log has confirmed the answer to the instance of the request.
+	confirmed bool
+	step      step
+	seen      int64
+	reply     string
 }
 
 type modelRecord struct {
@@ -85,7 +87,7 @@
 	b = append(b, '|', byte(w.read[0]), byte(w.read[1]), flag(w.ready[0]), flag(w.ready[1]), flag(w.statusRead))
 	b = append(b, byte(w.inFlight), byte(w.booked), byte(w.sends), byte(w.faults), byte(w.crashes))
 	for _, r := range w.requests {
-		b = append(b, flag(r.arrived), flag(r.claimed), flag(r.sent), flag(r.mustNotSend), byte(r.step), byte(r.seen))
+		b = append(b, flag(r.arrived), flag(r.claimed), flag(r.sent), flag(r.mustNotSend), flag(r.confirmed), byte(r.step), byte(r.seen))
 		b = append(b, r.reply...)
 	}
 	return string(b)
@@ -358,6 +360,9 @@
 // justifies the reply to the caller.
 func (x *explorer) advance(c *modelState, i int, e event, offset int) {
 	var do action
+	if c.requests[i].step == stepRecordingAnswer && e == eventRecorded {
+		c.requests[i].confirmed = true
+	}
 	c.requests[i].step, do = x.protocol.next(c.requests[i].step, e)
 	switch do {
 	case actionReturnAnswer:
@@ -378,7 +383,10 @@
 
 func (x *explorer) replyHolder(c *modelState, i int) {
 	c.requests[i].reply = "unknown"
-	if c.state[instanceOf[i]].phase == phaseDone {
+	state := c.state[instanceOf[i]]
+	holder := int(state.claimID[1] - '0')
+	confirmed := instanceOf[holder] == instanceOf[i] && c.requests[holder].confirmed
+	if state.phase == phaseDone || state.phase == phaseHeld && confirmed {
 		c.requests[i].reply = "answer"
 	}
 }
@@ -430,6 +438,9 @@
 					c.requests[i].step = stepClosed
 					c.requests[i].claimed = true
 				}
+				if instanceOf[i] == at {
+					c.requests[i].confirmed = false
+				}
 			}
 		})
 	}
--- a/internal/coordination/claims/request.go
+++ b/internal/coordination/claims/request.go
@@ -37,7 +37,7 @@
 // run returns the result of the claim that already holds the key, if any, or
 // claims the key and runs the call.
 func (r *request) run(ctx context.Context) (*records.KeptAnswer, *refusal.Refusal) {
-	if known := r.shard.get(r.id()); known.phase != phaseFree {
+	if known := r.known(ctx); known.phase != phaseFree {
 		return r.holderResult(ctx, known)
 	}
 	if refused := r.refuseEarly(); refused != nil {
@@ -59,7 +59,7 @@
 		case actionReturnNotRun:
 			return nil, r.notRunRefusal()
 		case actionReturnHolder:
-			return r.holderResult(ctx, r.shard.get(r.id()))
+			return r.holderResult(ctx, r.known(ctx))
 		default:
 			return r.unknownResult(ctx)
 		}
@@ -82,7 +82,7 @@
 		return refusal.NewUnknown(refusal.KindKeyExpired, "the key is older than the window in which keys are kept", "read at the service whether the call took effect; use a new key for a new call")
 	case !r.c.complete(r.shard):
 		return unknownRefusal("this instance has not read all claims of the window")
-	case r.c.keyCount.Load() >= MaxKeys:
+	case r.c.keyCount.Load() >= MaxKeys || r.c.keys.full():
 		refused := unknownRefusal("as many keys are kept as this system bears")
 		refused.Kind = refusal.KindOverloaded
 		return refused
@@ -165,12 +165,16 @@
 }
 
 // record appends the outcome of the claim and waits up to outcomeWait for the log
-// to confirm it.
+// to confirm it. The answer of the request's own call is kept from the confirmation until it is read back.
 func (r *request) record(record records.Claim) event {
 	record.Account, record.Key = r.call.Account, r.call.Key
 	record.ClaimID, record.Fingerprint = r.claimID, r.call.Fingerprint
+	confirmed := func() {}
+	if r.step == stepRecordingAnswer {
+		confirmed = func() { r.shard.confirm(r.id(), record.ClaimID, record.Answer) }
+	}
 	select {
-	case <-r.c.record(record):
+	case <-r.c.record(record, confirmed):
 		return eventRecorded
 	case <-time.After(outcomeWait):
 		return eventNotRecorded
@@ -212,10 +216,8 @@
 		return nil, unknownRefusal("another request with the key was given up")
 	case known.fingerprint != r.call.Fingerprint:
 		return nil, keyReusedRefusal(known)
-	case known.phase == phaseDone && known.answer.TooLong:
-		return nil, refusal.NewUnknown(refusal.KindBackendUnavailable, "the call ran once, and its answer was too long to keep", r.remedy())
 	case known.phase == phaseDone:
-		return known.answer, nil
+		return r.keptAnswer(ctx, known)
 	case known.phase == phaseUnknown || r.c.now().Sub(known.readAt) > r.call.Timeout+callSlack:
 		return r.resolveByStatus(ctx, known.claimID, "the answer of the call was lost")
 	default:
@@ -223,6 +225,22 @@
 	}
 }
 
+// keptAnswer returns the answer of a call that has run. One that was dropped from memory is read from the log. If that
+// fails, the request is refused, and the call is never run again.
+func (r *request) keptAnswer(ctx context.Context, known entry) (*records.KeptAnswer, *refusal.Refusal) {
+	answer := known.answer
+	if answer == nil {
+		var err error
+		if answer, err = r.c.readAnswer(ctx, r.id(), known); err != nil {
+			return nil, refusal.NewUnknown(refusal.KindLogUnavailable, "the call ran once, and its answer is not known: "+err.Error(), r.remedy()).After(retryAfter)
+		}
+	}
+	if answer.TooLong {
+		return nil, refusal.NewUnknown(refusal.KindBackendUnavailable, "the call ran once, and its answer was too long to keep", r.remedy())
+	}
+	return answer, nil
+}
+
 // keyReusedRefusal refuses a call whose key belongs to a different call. This
 // call certainly never ran only if the other one did.
 func keyReusedRefusal(known entry) *refusal.Refusal {
--- a/internal/coordination/claims/schedule_test.go
+++ b/internal/coordination/claims/schedule_test.go
@@ -51,6 +51,8 @@
 	outageFor time.Duration
 	delayBy   time.Duration
 	status    bool
+	// answers is the limit of the memory of answers, or 0 for none.
+	answers int64
 }
 
 func millis(t *rapid.T, name string, most int) time.Duration {
@@ -82,7 +84,7 @@
 
 // run runs a schedule. It returns a description of the first violation, or "".
 func (s *schedule) run() string {
-	f := newFleet(nodesInSchedule, s.status)
+	f := newLimitedFleet(nodesInSchedule, s.status, s.answers)
 	defer time.Sleep(settleTime) // lets the last batches end
 	defer f.close()
 	f.log.DelayBy = s.delayBy
@@ -243,6 +245,19 @@
 	})
 }
 
+// TestBookingsWithDroppedAnswersUnderRandomFaults is the same where every answer is dropped from memory at once.
+func TestBookingsWithDroppedAnswersUnderRandomFaults(t *testing.T) {
+	oneProcessor(t)
+	generator := rapid.Custom(drawSchedule)
+	synctest.Test(t, func(t *testing.T) {
+		for seed := range scheduleCount / 3 {
+			s := generator.Example(seed)
+			s.answers = 1
+			must.Eq(t, "", s.run(), must.Sprintf("seed %d: %+v", seed, *s))
+		}
+	})
+}
+
 // TestCrashAtEveryPoint crashes an instance at each point of a booking, and
 // repeats the request through another instance.
 func TestCrashAtEveryPoint(t *testing.T) {
--- a/internal/coordination/claims/shard.go
+++ b/internal/coordination/claims/shard.go
@@ -29,12 +29,16 @@
 
 // shard holds the keys of one shard under its own lock.
 type shard struct {
-	mu   sync.Mutex
-	keys map[keyID]entry
-	// holders is the number of client accounts that hold a key.
-	holders map[string]int
+	answers *answerMemory
+	memory  *keyMemory
+	// start is the time that the times of entries are relative to.
+	start time.Time
+	mu    sync.Mutex
+	keys  table
 	// waiters receive the effect of a claim, by claim ID.
 	waiters map[string]chan effect
+	// unread holds the outcomes of this instance that were not read back yet, by claim ID.
+	unread map[string]*unreadOutcome
 	// gapEnd is the offset that follows the last missed records; 0 if none were
 	// missed.
 	gapEnd int64
@@ -43,14 +47,25 @@
 	coveredBelow int64
 }
 
-func newShard() *shard {
-	return &shard{keys: map[keyID]entry{}, holders: map[string]int{}, waiters: map[string]chan effect{}}
+func newShard(answers *answerMemory, memory *keyMemory) *shard {
+	return &shard{answers: answers, memory: memory, start: time.Now(), waiters: map[string]chan effect{}, unread: map[string]*unreadOutcome{}}
 }
 
-func (s *shard) get(id keyID) entry {
+// get returns the entry of a key. An outcome of this instance that the log has confirmed counts although it was not
+// read back yet. If its answer is not in memory, the returned channel is closed when it has been read back.
+func (s *shard) get(id keyID) (entry, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keys[id]
+	e := s.keys.get(id.pack()).unpack(s.start)
+	outcome := s.unread[e.claimID]
+	if e.phase != phaseHeld || outcome == nil {
+		return e, nil
+	}
+	if outcome.answer == nil {
+		return e, outcome.removed
+	}
+	e.phase, e.answer = phaseDone, outcome.answer
+	return e, nil
 }
 
 // shared reports whether several client accounts hold the key, so that the
@@ -58,7 +73,7 @@
 func (s *shard) shared(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holders[key] > 1
+	return s.keys.holders(packText(key)) > 1
 }
 
 // wait registers a claim and returns a channel that receives its effect.
@@ -87,9 +102,15 @@
 		return effectNone, false
 	}
 	id := keyID{account: r.Account, key: r.Key}
-	old := s.keys[id]
+	old := s.keys.get(id.pack()).unpack(s.start)
+	if s.mayMissClaim(&old, r) {
+		old.fence = 0
+	}
 	state, result := apply(old.keyState, offset, r)
 	s.store(id, old, state, r, now)
+	if old.phase == phaseHeld && (state.phase != phaseHeld || state.claimID != old.claimID) {
+		s.removeUnreadLocked(old.claimID)
+	}
 	waiter, waited := s.waiters[r.ClaimID]
 	if result == effectNone || !waited {
 		return result, false
@@ -99,35 +120,40 @@
 	return result, true
 }
 
+// mayMissClaim reports whether a record is the outcome of a claim that may be among the missed records, for a key that
+// was free before them. The release that freed the key does not apply to that claim. Without this, the key would stay
+// free, and its call could run a second time: a checkpoint does not cover claims whose outcome follows the gap. Claims
+// and snapshots keep the fence, since it voids those that precede the release.
+func (s *shard) mayMissClaim(known *entry, r *records.Claim) bool {
+	outcome := (r.Step == records.ClaimDone || r.Step == records.ClaimUnknown) && !r.Snapshot
+	return outcome && known.phase == phaseFree && known.fence <= s.gapEnd
+}
+
 // store replaces the entry of a key. A new claim gets a new readAt and age.
 func (s *shard) store(id keyID, old entry, state keyState, r *records.Claim, now time.Time) {
 	fresh := entry{keyState: state, readAt: old.readAt, ageAtRead: old.ageAtRead}
 	if old.claimID != state.claimID {
 		fresh.readAt, fresh.ageAtRead = now, time.Duration(r.AgeSeconds)*time.Second
 	}
-	s.keys[id] = fresh
-	s.countHolder(id.key, old.phase != phaseFree, state.phase != phaseFree)
-}
-
-// countHolder updates the number of accounts that hold a key, where before and
-// after say whether one account held it before and holds it now.
-func (s *shard) countHolder(key string, before, after bool) {
-	switch {
-	case after && !before:
-		s.holders[key]++
-	case before && !after:
-		s.holders[key]--
-	}
-	if s.holders[key] == 0 {
-		delete(s.holders, key)
+	if old.phase == phaseDone && old.answer == nil && old.claimID == state.claimID {
+		// A snapshot does not return a dropped answer to memory. It moves its offset.
+		fresh.answer = nil
 	}
+	packed := fresh.pack(id.pack(), s.start)
+	s.memory.used.Add(packed.bytes() - s.keys.get(packed.packedID).bytes())
+	s.keys.put(packed)
+	s.answers.update(s, id, old, fresh)
 }
 
-// noteGap records that records below an offset were missed.
+// noteGap records that records below an offset were missed. They may include the unread outcomes, which would never
+// be read back then.
 func (s *shard) noteGap(below int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gapEnd = below
+	for claimID := range s.unread {
+		s.removeUnreadLocked(claimID)
+	}
 }
 
 // complete reports whether every claim of the window was read, either itself or
--- a/internal/coordination/discovery/discovery.go
+++ b/internal/coordination/discovery/discovery.go
@@ -28,7 +28,9 @@
 	// LapseGrace is the time after the end of an outage in which a missing entry may
 	// return.
 	LapseGrace time.Duration
-	Log        *logrus.Entry
+	// Clock is the clock of RegainedAt; nil means boottime.Now.
+	Clock func() boottime.Instant
+	Log   *logrus.Entry
 }
 
 // Age orders the entries that servers wrote under one ID; the zero value is unknown.
@@ -75,6 +77,9 @@
 
 // New returns an empty registry.
 func New(opts Options) *Registry {
+	if opts.Clock == nil {
+		opts.Clock = boottime.Now
+	}
 	return &Registry{
 		opts: opts, byID: map[string]backends.Server{}, ages: map[string]Age{}, removed: map[string]removal{}, lapsed: map[string]time.Time{},
 	}
@@ -135,7 +140,7 @@
 // grace period ends, for use if there is no other, since its entry may return.
 func (r *Registry) Remove(id string) {
 	regained := r.opts.RegainedAt()
-	since := boottime.Now().Since(regained)
+	since := r.opts.Clock().Since(regained)
 	recent := regained != 0 && since < r.opts.LapseGrace
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/coordination/dispatch/booking.go
+++ b/internal/coordination/dispatch/booking.go
@@ -111,7 +111,7 @@
 func (r *Router) readStatus(ctx context.Context, address string, call *PlainCall, path string) (*records.KeptAnswer, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), statusTimeout)
 	defer cancel()
-	answer, err := r.Services.Do(ctx, &attempt.ServiceCall{Address: address, Method: "GET", Path: path, RequestID: call.RequestID})
+	answer, err := r.Services.Do(ctx, &attempt.ServiceCall{Address: address, Method: "GET", Path: path, RequestID: call.RequestID, Memory: call.Memory})
 	switch {
 	case err != nil:
 		return nil, err
--- a/internal/coordination/dispatch/chat.go
+++ b/internal/coordination/dispatch/chat.go
@@ -27,6 +27,8 @@
 	Body map[string]json.RawMessage
 	// SessionToken is empty for a new session.
 	SessionToken string
+	// Memory accounts for what the request holds; nil sets no limit.
+	Memory attempt.Memory
 }
 
 // Quality is the result of comparing an answer with the quality target.
@@ -92,7 +94,7 @@
 		}
 		t, refused := r.tryStep(ctx, u, call, step)
 		last := i == len(plan.Steps)-1
-		if refused != nil && (last || ctx.Err() != nil) {
+		if refused != nil && (last || ctx.Err() != nil || u.noMemory) {
 			return nil, refused
 		}
 		if refused != nil {
@@ -102,8 +104,9 @@
 			return t, nil
 		}
 		if t.rated && (best == nil || t.rating >= best.rating) {
-			best = t
+			best, t = t, best
 		}
+		t.release()
 	}
 	if best == nil {
 		return nil, refusal.New(refusal.KindInternal, "the plan has no step", "report this to the operators")
--- a/internal/coordination/dispatch/close.go
+++ b/internal/coordination/dispatch/close.go
@@ -40,6 +40,7 @@
 // release frees the resources of the stream.
 func (s *ChatStream) release() {
 	s.closeStream()
+	s.heldText.Release()
 	if s.server != nil {
 		s.router.settle(s.server, backends.CallNeutral)
 		s.server = nil
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -115,8 +115,13 @@
 	// servers; nil counts as 1.
 	EntryCount func() int
 
-	budgets     retrybudget.Budgets
-	lateRatings atomic.Int64
+	// LateRatingBytes bounds the prompts and texts of answers that are rated after
+	// they were returned; 0 sets no limit.
+	LateRatingBytes int64
+
+	budgets         retrybudget.Budgets
+	lateRatings     atomic.Int64
+	lateRatingBytes atomic.Int64
 }
 
 const (
--- a/internal/coordination/dispatch/hedge.go
+++ b/internal/coordination/dispatch/hedge.go
@@ -63,7 +63,7 @@
 				return reply.answer, nil
 			}
 			lastErr = reply.err
-			if caller.Err() != nil {
+			if caller.Err() != nil || errors.Is(lastErr, attempt.ErrMemory) {
 				return nil, serviceRefusal(caller, call, lastErr)
 			}
 		case <-hedge:
--- a/internal/coordination/dispatch/rate.go
+++ b/internal/coordination/dispatch/rate.go
@@ -92,16 +92,26 @@
 }
 
 // rateLater rates an answer in the background, so that it is returned without
-// waiting. Ratings above maxLateRatings are dropped.
+// waiting. Ratings above maxLateRatings and LateRatingBytes are dropped, since the
+// account of the request does not cover them.
 func (r *Router) rateLater(call *ChatCall, plan *cascade.Plan, i int, t *stepAnswer) {
-	if r.lateRatings.Add(1) > maxLateRatings {
+	size := int64(len(t.text))
+	for _, value := range call.Body {
+		size += int64(len(value))
+	}
+	ratings, held := r.lateRatings.Add(1), r.lateRatingBytes.Add(size)
+	end := func() {
 		r.lateRatings.Add(-1)
+		r.lateRatingBytes.Add(-size)
+	}
+	if ratings > maxLateRatings || r.LateRatingBytes > 0 && held > r.LateRatingBytes {
+		end()
 		lateRatingsDropped.Add(1)
 		return
 	}
 	late := &stepAnswer{step: t.step, text: t.text}
 	go func() {
-		defer r.lateRatings.Add(-1)
+		defer end()
 		r.rate(context.Background(), call, plan, i, late)
 		if !late.rated {
 			return
--- a/internal/coordination/dispatch/resume.go
+++ b/internal/coordination/dispatch/resume.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/ansel1/merry/v2"
+
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/openai"
 )
@@ -11,13 +13,17 @@
 // recover continues an interrupted answer. If the engine numbers its events, it
 // first resumes on the same server after the last event. If that is not
 // possible, another server of the same version continues from the text that the
-// caller has received. It returns err if neither succeeds.
+// caller has received. It returns err if neither succeeds, or if the fault is a lack
+// of memory here.
 func (s *ChatStream) recover(err error) error {
+	if errors.Is(err, attempt.ErrMemory) {
+		return err
+	}
 	if s.ctx.Err() == nil && s.resume() {
 		return nil
 	}
 	s.giveUpServer(err)
-	for s.ctx.Err() == nil && !s.notContinuable && !s.finished && s.tries < maxAttempts {
+	for s.ctx.Err() == nil && !s.notContinuable && !s.finished && !s.run.noMemory && s.tries < maxAttempts {
 		regenerateErr := s.regenerate()
 		if regenerateErr == nil {
 			return nil
@@ -45,37 +51,23 @@
 	return true
 }
 
+// regenerate lets another engine write the rest of the answer. Its request has the text that the caller has
+// received as an unfinished last message, with the fields that engines document for this purpose.
 func (s *ChatStream) regenerate() error {
-	body, err := continuation(s.call, s.text.String())
-	if err != nil {
-		return attempt.ErrRejected
-	}
-	s.continued = true
-	return s.connect(body)
-}
-
-// continuation returns the request for the rest of an answer: the messages,
-// followed by the text that the caller has received as an unfinished last
-// message, with the fields that engines document for this purpose.
-func continuation(call *ChatCall, text string) (map[string]json.RawMessage, error) {
-	var messages []json.RawMessage
-	if err := json.Unmarshal(call.Body["messages"], &messages); err != nil {
-		return nil, err
+	text := s.text.String()
+	if err := s.heldText.Grow(int64(len(text))); err != nil {
+		return merry.Prepend(attempt.ErrBodyMemory, err.Error())
 	}
 	partial, err := json.Marshal(openai.AnswerMessage{Role: "assistant", Content: text})
 	if err != nil {
-		return nil, err
-	}
-	all, err := json.Marshal(append(messages, partial))
-	if err != nil {
-		return nil, err
+		return attempt.ErrRejected
 	}
-	body := make(map[string]json.RawMessage, len(call.Body)+3)
-	for key, value := range call.Body {
+	body := make(map[string]json.RawMessage, len(s.call.Body)+2)
+	for key, value := range s.call.Body {
 		body[key] = value
 	}
-	body["messages"] = all
 	body["continue_final_message"] = json.RawMessage("true")
 	body["add_generation_prompt"] = json.RawMessage("false")
-	return body, nil
+	s.continued = true
+	return s.connect(body, partial)
 }
--- a/internal/coordination/dispatch/run.go
+++ b/internal/coordination/dispatch/run.go
@@ -31,7 +31,10 @@
 	// mayHaveRun is true once a backend server may have processed the request.
 	mayHaveRun bool
 	// overloaded is true once a backend server was at its limit.
-	overloaded  bool
+	overloaded bool
+	// noMemory is true once an answer, or the request for an engine, did not fit into the memory for callers. Another
+	// attempt would fail for the same reason.
+	noMemory    bool
 	bill        records.Bill
 	explanation requests.Explanation
 }
@@ -124,6 +127,10 @@
 	refused.RequestID = u.bill.RequestID
 	if u.mayHaveRun {
 		refused.Outcome = refusal.Unknown
+		if refused.Kind == refusal.KindOverloaded || refused.Kind == refusal.KindNoBackend {
+			// Their statuses, 429 and 503, would state that nothing has run.
+			refused.Kind = refusal.KindBrokenAnswer
+		}
 	}
 	u.finish(ctx, string(refused.Outcome), refused.Message)
 	return refused
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -101,15 +101,15 @@
 }
 
 // callResult returns what the end of a call implies for the server. A call that
-// found the server at its limit, that the server rejected as invalid, or that
-// this side cancelled is no failure of the server.
+// found the server at its limit, that the server rejected as invalid, that
+// this side has no memory for, or that this side cancelled is no failure of the server.
 func callResult(ctx context.Context, err error) backends.CallResult {
 	switch {
 	case err == nil:
 		return backends.CallGood
 	case errors.Is(err, attempt.ErrBusy):
 		return backends.CallBusy
-	case errors.Is(err, attempt.ErrRejected), errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, attempt.ErrRejected), errors.Is(err, attempt.ErrMemory), errors.Is(err, attempt.ErrBodyMemory), errors.Is(ctx.Err(), context.Canceled):
 		return backends.CallNeutral
 	default:
 		return backends.CallFailed
--- a/internal/coordination/dispatch/service.go
+++ b/internal/coordination/dispatch/service.go
@@ -28,6 +28,8 @@
 	ContentType string
 	Body        []byte
 	Key         string
+	// Memory accounts for what the call holds; nil sets no limit.
+	Memory attempt.Memory
 }
 
 // Plain forwards a call to a plain service.
@@ -137,7 +139,7 @@
 func newServiceCall(call *PlainCall, address string) *attempt.ServiceCall {
 	return &attempt.ServiceCall{
 		Address: address, Method: call.Method, Path: withQuery(call), ContentType: call.ContentType,
-		Body: call.Body, RequestID: call.RequestID, IdempotencyKey: call.Key,
+		Body: call.Body, RequestID: call.RequestID, IdempotencyKey: call.Key, Memory: call.Memory,
 	}
 }
 
@@ -150,8 +152,11 @@
 
 func serviceRefusal(ctx context.Context, call *PlainCall, err error) *refusal.Refusal {
 	kind := refusal.KindBackendUnavailable
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		kind = refusal.KindDeadline
+	case errors.Is(err, attempt.ErrMemory):
+		kind = refusal.KindBrokenAnswer
 	}
 	return refusal.New(kind, "service "+call.Service.Name+": "+err.Error(), "call again after the given wait").After(noBackendRetry)
 }
--- a/internal/coordination/dispatch/step.go
+++ b/internal/coordination/dispatch/step.go
@@ -23,6 +23,13 @@
 	rating float64
 }
 
+// release releases the memory of an answer that is not used; nil has none.
+func (t *stepAnswer) release() {
+	if t != nil {
+		t.answer.Held.Release()
+	}
+}
+
 // tryStep tries servers of one version until one gives a complete answer.
 func (r *Router) tryStep(ctx context.Context, u *run, call *ChatCall, step cascade.Step) (*stepAnswer, *refusal.Refusal) {
 	var exclude []string
@@ -43,14 +50,14 @@
 		}
 		u.recordFailure(err)
 		lastErr = err
-		if ctx.Err() != nil || errors.Is(err, attempt.ErrRejected) {
+		if ctx.Err() != nil || u.noMemory || errors.Is(err, attempt.ErrRejected) {
 			break
 		}
 		exclude = append(exclude, server.id)
 	}
 	u.recordStep(requests.Step{VersionID: step.VersionID, Rollout: step.Rollout, Result: stepFailed}, 0)
 	sample := sampleOf(call, step)
-	sample.Failed = !errors.Is(lastErr, attempt.ErrNoServer) && !errors.Is(lastErr, attempt.ErrRejected)
+	sample.Failed = !errors.Is(lastErr, attempt.ErrNoServer) && !errors.Is(lastErr, attempt.ErrRejected) && !u.noMemory
 	r.Learner.Observe(sample)
 	return nil, stepRefusal(ctx, step.VersionID, lastErr)
 }
@@ -66,6 +73,7 @@
 		AttemptID: fmt.Sprintf("%s-%s-%d", call.RequestID, versionID, number),
 		Priority:  call.Kind.Priority,
 		Body:      call.Body,
+		Memory:    call.Memory,
 	}
 }
 
@@ -79,9 +87,10 @@
 // recordFailure records whether the engine may have processed the request, and
 // whether it was at its limit.
 func (u *run) recordFailure(err error) {
-	certain := errors.Is(err, attempt.ErrUnreachable) || errors.Is(err, attempt.ErrBusy) || errors.Is(err, attempt.ErrRejected)
+	certain := errors.Is(err, attempt.ErrUnreachable) || errors.Is(err, attempt.ErrBusy) || errors.Is(err, attempt.ErrRejected) || errors.Is(err, attempt.ErrBodyMemory)
 	u.mayHaveRun = u.mayHaveRun || !certain
 	u.overloaded = u.overloaded || errors.Is(err, attempt.ErrBusy)
+	u.noMemory = u.noMemory || errors.Is(err, attempt.ErrMemory) || errors.Is(err, attempt.ErrBodyMemory)
 }
 
 func stepRefusal(ctx context.Context, versionID string, err error) *refusal.Refusal {
@@ -92,6 +101,8 @@
 		return refusal.New(refusal.KindNoBackend, "no backend server takes work for "+versionID, "ask again after the given wait").After(noBackendRetry)
 	case errors.Is(err, attempt.ErrRejected):
 		return refusal.New(refusal.KindBadRequest, err.Error(), "correct the request")
+	case errors.Is(err, attempt.ErrBodyMemory):
+		return refusal.New(refusal.KindOverloaded, err.Error(), "send the request again, to another entry instance if there is one").After(noBackendRetry)
 	case errors.Is(err, attempt.ErrBusy):
 		return refusal.New(refusal.KindOverloaded, err.Error(), "ask again after the given wait").After(noBackendRetry)
 	case errors.Is(err, attempt.ErrUnreachable):
--- a/internal/coordination/dispatch/stream.go
+++ b/internal/coordination/dispatch/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"io"
 	"strings"
 	"time"
@@ -16,6 +17,9 @@
 	"medlarslip/internal/protocol/refusal"
 )
 
+// textsDropped counts the streams whose text was not kept for lack of memory.
+var textsDropped = expvar.NewInt("stream_texts_dropped")
+
 // ChatStream is a streamed answer whose first chunk has arrived. It belongs to
 // one goroutine, which must call Close.
 type ChatStream struct {
@@ -43,7 +47,9 @@
 	// id is the ID of the answer that is sent to the caller.
 	id []byte
 	// text is the text that was sent to the caller so far.
-	text      strings.Builder
+	text strings.Builder
+	// heldText is the memory of text.
+	heldText  *attempt.Held
 	chunks    int64
 	usage     *openai.Usage
 	continued bool
@@ -73,7 +79,7 @@
 		if refused == nil {
 			return s, nil
 		}
-		if i == len(plan.Steps)-1 {
+		if i == len(plan.Steps)-1 || u.noMemory {
 			return nil, u.refuse(ctx, refused)
 		}
 	}
@@ -85,7 +91,7 @@
 	if err != nil {
 		return nil, refusal.New(refusal.KindInternal, err.Error(), "report this to the operators")
 	}
-	s := &ChatStream{VersionID: step.VersionID, SessionToken: text, router: r, run: u, call: call, step: step, caller: ctx}
+	s := &ChatStream{VersionID: step.VersionID, SessionToken: text, router: r, run: u, call: call, step: step, caller: ctx, heldText: attempt.NewHeld(call.Memory)}
 	s.ctx, s.cancel = context.WithTimeout(ctx, time.Duration(call.Kind.TotalMillis)*time.Millisecond)
 	if err := s.openFirst(); err != nil {
 		refused := stepRefusal(s.ctx, step.VersionID, err)
@@ -102,8 +108,8 @@
 	timer := time.AfterFunc(wait, s.cancel)
 	defer timer.Stop()
 	lastErr := attempt.ErrNoServer
-	for s.tries < maxAttempts && s.ctx.Err() == nil {
-		err := s.connect(s.call.Body)
+	for s.tries < maxAttempts && s.ctx.Err() == nil && !s.run.noMemory {
+		err := s.connect(s.call.Body, nil)
 		if errors.Is(err, attempt.ErrNoServer) {
 			break
 		}
@@ -120,8 +126,9 @@
 	return lastErr
 }
 
-// connect opens the stream on a server that is not excluded for this request.
-func (s *ChatStream) connect(body map[string]json.RawMessage) error {
+// connect opens the stream on a server that is not excluded for this request. The
+// unfinished message, if any, follows the messages of the body.
+func (s *ChatStream) connect(body map[string]json.RawMessage, unfinished json.RawMessage) error {
 	if !s.router.mayTry(s.step.VersionID, s.tries) {
 		return attempt.ErrNoServer
 	}
@@ -131,7 +138,7 @@
 	}
 	s.tries++
 	s.engine = newEngineCall(s.call, s.step.VersionID, s.server.address, s.tries)
-	s.engine.Body = body
+	s.engine.Body, s.engine.Unfinished = body, unfinished
 	stream, err := s.router.Engines.Open(s.ctx, s.engine, 0)
 	if err != nil {
 		return err
@@ -217,12 +224,32 @@
 		s.usage = chunk.Parsed.Usage
 	}
 	for _, choice := range chunk.Parsed.Choices {
-		s.text.WriteString(choice.Delta.Content)
+		s.keepText(choice.Delta.Content)
 		s.notContinuable = s.notContinuable || choice.Index > 0 || len(choice.Delta.ToolCalls) > 0
 		s.finished = s.finished || choice.FinishReason != nil
 	}
 }
 
+// textCopies is the memory of the text of a stream as a multiple of its length, since its buffer doubles.
+const textCopies = 2
+
+// keepText keeps a text that was sent to the caller. Where there is no memory for it, the stream goes on without:
+// it is then neither continued by another engine nor rated.
+func (s *ChatStream) keepText(text string) {
+	if s.heldText == nil {
+		return
+	}
+	if err := s.heldText.Grow(int64(textCopies * len(text))); err != nil {
+		textsDropped.Add(1)
+		s.notContinuable = true
+		s.text = strings.Builder{}
+		s.heldText.Release()
+		s.heldText = nil
+		return
+	}
+	s.text.WriteString(text)
+}
+
 // repeatsRole reports whether a chunk only repeats the start of a message, in an
 // answer that another engine continues.
 func (s *ChatStream) repeatsRole(chunk *attempt.Chunk) bool {
--- a/internal/coordination/gateway/brittle.go
+++ b/internal/coordination/gateway/brittle.go
@@ -17,21 +17,28 @@
 	}
 	g, snapshot := a.gateway, a.choice.backend.Snapshot()
 	server := brittleServer(a.req.service, &snapshot)
-	g.Brittle.Observe(&server, a.reply.Brittle, a.reply.TurnAwayLimit, a.reply.Load, func() []brittle.Server {
-		var servers []brittle.Server
-		for _, backend := range g.Servers.Serving(a.req.service) {
-			snapshot := backend.Snapshot()
-			servers = append(servers, brittleServer(a.req.service, &snapshot))
-		}
-		return servers
-	})
+	g.Brittle.Observe(&server, a.reply.Brittle, a.reply.TurnAwayLimit, a.reply.Load)
 	if a.verdict == notRun {
 		g.Brittle.TurnedAway(&server, max(snapshot.InFlight-1, 0))
 	}
 }
 
 func brittleServer(service string, server *backends.Snapshot) brittle.Server {
-	return brittle.Server{Service: service, ID: server.Server.ID, Slots: server.Server.Slots}
+	slots := server.Server.Slots
+	if slots == 0 {
+		slots = server.Load.Slots
+	}
+	return brittle.Server{Service: service, ID: server.Server.ID, Slots: slots}
+}
+
+// BrittleServers returns the servers of a service as the gate of brittle servers knows them.
+func BrittleServers(table *backends.Table, service string) []brittle.Server {
+	var servers []brittle.Server
+	for _, backend := range table.Serving(service) {
+		snapshot := backend.Snapshot()
+		servers = append(servers, brittleServer(service, &snapshot))
+	}
+	return servers
 }
 
 func (g *Gateway) brittleAllows(service string, server *backends.Snapshot) bool {
--- a/internal/coordination/gateway/buffers.go
+++ b/internal/coordination/gateway/buffers.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"medlarslip/internal/state/clientmemory"
 )
 
 const (
@@ -19,40 +22,62 @@
 
 var (
 	errBodyTooLong = errors.New("body of the response is too long to be buffered")
-	errBuffersFull = errors.New("too many long bodies are buffered at the same time")
+	// errBuffersFull is no failure of the server: this instance is short of memory.
+	errBuffersFull = errors.New("responses and clients hold as much memory as the limits allow")
 )
 
 // bodyBuffers bounds the memory for response bodies, also if faulty servers send endless ones
 // to many requests at the same time.
 type bodyBuffers struct{ reserved atomic.Int64 }
 
-// readWhole reads a body of at most maxWholeBody bytes. release must be called once the body
-// is no longer needed.
-func (b *bodyBuffers) readWhole(source io.Reader) (body []byte, release func(), err error) {
-	body, err = io.ReadAll(io.LimitReader(source, smallBody+1))
-	if err != nil {
-		return nil, nil, err
-	}
-	if len(body) <= smallBody {
-		return body, func() {}, nil
-	}
-	release = func() { b.reserved.Add(-maxWholeBody) }
-	if b.reserved.Add(maxWholeBody) > maxBuffered {
-		release()
-		return nil, nil, errBuffersFull
+// readWhole reads a body of at most maxWholeBody bytes into buffers of fixed sizes, and accounts
+// for each as memory of the client, which may not take it, before it is filled. release must be
+// called once the body is no longer needed.
+func (b *bodyBuffers) readWhole(source io.Reader, memory *clientmemory.Holding) (body [][]byte, release func(), err error) {
+	var held, reserved int64
+	release = func() {
+		b.reserved.Add(-reserved)
+		memory.Shrink(held)
 	}
-	whole := append(make([]byte, 0, maxWholeBody+1), body...)
-	for len(whole) < cap(whole) {
-		n, err := source.Read(whole[len(whole):cap(whole)])
-		whole = whole[:len(whole)+n]
+	size := 0
+	// The memory of the first buffer is part of that of a running request.
+	piece := make([]byte, 0, clientmemory.FirstResponseBytes)
+	for {
+		n, err := source.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		size += n
 		switch {
-		case errors.Is(err, io.EOF):
-			return whole, release, nil
-		case err != nil:
+		case errors.Is(err, io.EOF) && size <= maxWholeBody:
+			return append(body, piece), release, nil
+		case err == nil && size <= maxWholeBody:
+		default:
+			release()
+			return nil, nil, cmp.Or(bodyLengthError(size), err)
+		}
+		if size > smallBody && reserved == 0 {
+			reserved = maxWholeBody
+			if b.reserved.Add(reserved) > maxBuffered {
+				release()
+				return nil, nil, errBuffersFull
+			}
+		}
+		if len(piece) < cap(piece) {
+			continue
+		}
+		if memory.Grow(pieceBytes) != nil {
 			release()
-			return nil, nil, err
+			return nil, nil, errBuffersFull
 		}
+		held += pieceBytes
+		body = append(body, piece)
+		piece = make([]byte, 0, pieceBytes)
+	}
+}
+
+// bodyLengthError returns errBodyTooLong for a size that exceeds the bound.
+func bodyLengthError(size int) error {
+	if size > maxWholeBody {
+		return errBodyTooLong
 	}
-	release()
-	return nil, nil, errBodyTooLong
+	return nil
 }
--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/coordination/escalation"
+	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/protocol/routes"
 )
 
@@ -60,9 +61,48 @@
 }
 
 // answerValue returns the value of a good answer, in runs of the strongest
-// model. Each priority below the highest halves it.
+// model.
 func (g *Gateway) answerValue(route *routes.Route) float64 {
-	return g.AnswerValue * math.Exp2(-float64(route.Priority))
+	return g.AnswerValue * relativeValue(route)
+}
+
+// relativeValue returns the value of a good answer relative to one of the highest priority.
+// Each priority below the highest halves it.
+func relativeValue(route *routes.Route) float64 { return math.Exp2(-float64(route.Priority)) }
+
+// escalationBudget is the part of a service's retry budget that runs of stronger models may use.
+type escalationBudget struct {
+	*retrybudget.Budget
+	options retrybudget.Options
+	part    float64
+	// byValue is true if a scarce budget is spent on the runs of the highest value.
+	byValue   bool
+	instances int
+}
+
+// escalationBudget returns the budget for runs of stronger models of a service. Where requests
+// are placed by expected cost it is spent by value too, since more answers may be weak than it
+// suffices for.
+func (g *Gateway) escalationBudget(req *request) *escalationBudget {
+	b := &escalationBudget{Budget: g.budgetOf(req), options: g.boundsNow().Budget, part: escalationShare, instances: g.Instances()}
+	if g.byCost(req.service) {
+		b.byValue, b.part, b.options.CountEarlier = true, valuedEscalationShare, true
+	}
+	return b
+}
+
+func (b *escalationBudget) allows(now time.Time) bool {
+	return b.Allows(now, &b.options, b.part, b.instances)
+}
+
+func (b *escalationBudget) take(now time.Time) bool {
+	return b.Take(now, &b.options, b.part, b.instances)
+}
+
+// worthwhile reports whether a run of the given gain, in good answers of the highest priority,
+// is worth its share of the budget.
+func (b *escalationBudget) worthwhile(gain float64, now time.Time) bool {
+	return !b.byValue || gain >= escalation.MinGain(b.Utilization(now, &b.options, b.part, b.instances))
 }
 
 // escalate drops the answer of a smaller model in favor of a stronger one, if
@@ -90,32 +130,41 @@
 		"confidence": a.reply.Confidence, "queue": queue, "sent": req.sent, "next": req.plan.models[advice.Next].Name,
 		"good": round(advice.Good), "expected": round(advice.Expected), "request_key": req.keys.Key.String(),
 	})
-	if cause := g.reserveEscalation(ctx, req, advice.Next, a.reply.Confidence); cause != "" {
+	gain := relativeValue(req.route) * (advice.Expected - advice.Good)
+	if cause := g.reserveEscalation(ctx, req, advice.Next, a.reply.Confidence, gain); cause != "" {
 		entry.Info("weak answer is delivered: " + cause)
 		return false
 	}
 	entry.Info("weak answer is dropped in favor of a stronger model")
-	a.close()
-	g.observeDrop(a)
+	req.weakDropped = true
+	g.dropWeak(req, a)
 	return true
 }
 
 // reserveEscalation reserves a server for a run of a stronger model, and charges the
 // retry budget for it. A weak answer is dropped only once both are certain. It returns
 // why there is no such run, or "".
-func (g *Gateway) reserveEscalation(ctx context.Context, req *request, next, confidence int) (cause string) {
+func (g *Gateway) reserveEscalation(ctx context.Context, req *request, next, confidence int, gain float64) (cause string) {
 	const exhausted = "the retry budget is exhausted"
-	budget, bounds := g.budgetOf(req), &g.boundsNow().Budget
-	if !budget.Allows(time.Now(), bounds, escalationShare, g.Instances()) {
+	budget := g.escalationBudget(req)
+	switch now := time.Now(); {
+	case !budget.allows(now):
 		return exhausted
+	case !budget.worthwhile(gain, now):
+		return "the retry budget is scarce and kept for runs of a higher value"
 	}
 	before := *req.plan
 	req.plan.advance(next, confidence)
+	req.capacity.keptSince = time.Now()
 	choice := g.choose(ctx, req, "")
+	noCapacity := req.capacity.givenUp
+	req.capacity.keptSince, req.capacity.givenUp = time.Time{}, false
 	switch {
+	case noCapacity:
+		cause = "no server has capacity for another run"
 	case choice == nil:
 		cause = "no server is available for another run"
-	case !budget.Take(time.Now(), bounds, escalationShare, g.Instances()):
+	case !budget.take(time.Now()):
 		choice.backend.Cancel()
 		cause = exhausted
 	default:
--- a/internal/coordination/gateway/cascade_test.go
+++ b/internal/coordination/gateway/cascade_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/coordination/brittle"
 	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/quarantine"
@@ -127,7 +128,7 @@
 	now := time.Now()
 	table.Get("a").SetLoad(backends.Load{Waiting: 4, ReadAt: now})
 	table.Get("b").SetLoad(backends.Load{Waiting: 1, ReadAt: now})
-	table.Get("old").SetLoad(backends.Load{Waiting: 90, ReadAt: now.Add(-2 * maxReportAge)})
+	table.Get("old").SetLoad(backends.Load{Waiting: 90, ReadAt: now.Add(-2 * admission.MaxReportAge)})
 	g := &Gateway{Options: Options{Servers: table}}
 	must.Eq(t, 2.5, g.meanQueueLength("s", now))
 	must.Zero(t, g.meanQueueLength("unknown", now))
@@ -143,3 +144,34 @@
 		must.Eq(t, kind == routes.Idempotent, g.escalate(t.Context(), req, a))
 	}
 }
+
+// TestScarceBudgetIsKeptForHighPriorities guards against a retry budget that answers of a low
+// priority use up. Without pressure it is used in order of arrival.
+func TestScarceBudgetIsKeptForHighPriorities(t *testing.T) {
+	cases := []struct {
+		pressure bool
+		priority int
+		dropped  bool
+	}{
+		{true, 0, true},
+		{true, 2, false},
+		{false, 2, true},
+	}
+	for _, c := range cases {
+		var g Gateway
+		req, a := cascadeRequest(&g, 10, 0)
+		g.Pressure = func() bool { return c.pressure }
+		req.route.Priority = c.priority
+		budget := g.Bounds().Budget
+		for range 76 {
+			must.True(t, g.budgetOf(req).Take(time.Now(), &budget, 1, 1))
+		}
+		if c.pressure {
+			// The share of the budget is larger, so more of it has to be used.
+			for range 9 {
+				must.True(t, g.budgetOf(req).Take(time.Now(), &budget, 1, 1))
+			}
+		}
+		must.Eq(t, c.dropped, g.escalate(t.Context(), req, a), must.Sprintf("%+v", c))
+	}
+}
--- a/internal/coordination/gateway/codec.go
+++ b/internal/coordination/gateway/codec.go
@@ -32,6 +32,9 @@
 	Prompt []PromptPart
 	// PromptTokens is the length of the prompt in tokens; 0 if unknown.
 	PromptTokens int
+	// MaxOutputTokens is the maximum length of the answer in tokens, and LengthHint
+	// the client's estimate of it; 0 if unknown.
+	MaxOutputTokens, LengthHint int
 	// LastEventID is the ID of the event after which the client resumes a
 	// stream; empty for a new stream.
 	LastEventID string
--- a/internal/coordination/gateway/compare.go
+++ b/internal/coordination/gateway/compare.go
@@ -6,51 +6,32 @@
 	"sync"
 	"time"
 
+	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
-	"medlarslip/internal/state/quantile"
 )
 
-const (
-	// slowQuantile is the quantile of the baseline's times above which a
-	// response counts as slow. Canary and baseline are compared with the same
-	// one, so that a slowdown of all servers makes neither look worse.
-	slowQuantile = 0.9
-	// medianQuantile is the median. A version that is slower throughout is
-	// detected there first, on servers with little load.
-	medianQuantile = 0.5
-	// worseFactor is how many times the quantile a time must exceed. A bad
-	// version is several times slower. The factor tolerates what a server that
-	// has just started adds to all its times, with empty caches and different
-	// neighbors.
-	worseFactor = 1.25
-	// minCompared is the number of samples from which the quantiles are used.
-	minCompared = 12
-	// minStreamEvents is the number of events after which the mean time between
-	// the events of a stream is compared; shorter streams are compared at
-	// their end.
-	minStreamEvents = 4
-)
+// minStreamEvents is the number of events after which the mean time between
+// the events of a stream is compared; shorter streams are compared at
+// their end.
+const minStreamEvents = 4
 
 // versionTimes holds the response times of the baseline versions.
 type versionTimes struct {
-	headers        sync.Map // timingKey to *versionQuantiles
-	eventIntervals sync.Map // streamKey to *versionQuantiles
+	headers        sync.Map // timingKey to *rollout.BaselineTimes
+	eventIntervals sync.Map // streamKey to *rollout.BaselineTimes
 }
 
-// versionQuantiles holds two quantiles of comparable times.
-type versionQuantiles struct{ slow, median *quantile.Tracker }
-
 // streamKey identifies the streams whose event intervals are comparable. These
 // do not depend on the prompt.
 type streamKey struct{ service, model string }
 
-func timesOf(all *sync.Map, key any) *versionQuantiles {
+func timesOf(all *sync.Map, key any) *rollout.BaselineTimes {
 	if found, ok := all.Load(key); ok {
-		return found.(*versionQuantiles)
+		return found.(*rollout.BaselineTimes)
 	}
-	found, _ := all.LoadOrStore(key, &versionQuantiles{slow: quantile.New(slowQuantile), median: quantile.New(medianQuantile)})
-	return found.(*versionQuantiles)
+	found, _ := all.LoadOrStore(key, rollout.NewBaselineTimes())
+	return found.(*rollout.BaselineTimes)
 }
 
 // comparison is what is observed of a version by one response. It is reported
@@ -67,24 +48,26 @@
 }
 
 // compareTime compares a time with the quantiles of the baseline. The times of
-// the baseline versions are added to the quantiles.
-func (a *attempt) compareTime(baseline *versionQuantiles, took time.Duration) {
-	a.compareOnly(baseline, took)
-	if a.gateway.Staging.IsBaseline(a.req.service, a.version()) {
-		baseline.slow.Add(took)
-		baseline.median.Add(took)
+// the baseline versions are added to the quantiles, but for those while a trial leaves them less load.
+func (a *attempt) compareTime(baseline *rollout.BaselineTimes, took time.Duration, cacheFactor float64) {
+	a.compareOnly(baseline, took, cacheFactor)
+	if staging := a.gateway.Staging; staging.IsBaseline(a.req.service, a.version()) && !staging.AtFullLoad(a.req.service) {
+		baseline.Add(took)
 	}
 }
 
 // compareOnly compares a time with the quantiles of the baseline.
-func (a *attempt) compareOnly(baseline *versionQuantiles, took time.Duration) {
-	compared := time.Duration(float64(took) / worseFactor)
-	if slow, known := baseline.slow.Above(compared, minCompared); known {
+func (a *attempt) compareOnly(baseline *rollout.BaselineTimes, took time.Duration, cacheFactor float64) {
+	compare := baseline.Compare
+	if a.gateway.Staging.AtFullLoad(a.req.service) {
+		compare = baseline.CompareFixed
+	}
+	if slow, aboveMedian, known := compare(took, cacheFactor); known {
 		a.compared.timed = true
 		a.compared.slow = a.compared.slow || slow
 		// The last comparison counts: for a stream the event interval says more
 		// than the time to the header.
-		a.compared.aboveMedian, _ = baseline.median.Above(compared, minCompared)
+		a.compared.aboveMedian = aboveMedian
 	}
 }
 
@@ -93,7 +76,7 @@
 func (a *attempt) compareHeader(took time.Duration) {
 	a.compared.headerAt = a.began.Add(took)
 	if isSuccess(a.reply.Status) {
-		a.compareTime(timesOf(&a.gateway.versionTimes.headers, a.req.timingKey(a.model)), took)
+		a.compareTime(timesOf(&a.gateway.versionTimes.headers, a.req.timingKey(a.model)), took, a.req.cacheFactor())
 	}
 	if a.verdict != deliver || a.req.route.Kind != routes.Stream {
 		a.reportVersion()
@@ -116,7 +99,7 @@
 		return
 	}
 	pace := now.Sub(a.compared.headerAt) / time.Duration(max(a.compared.events, 1))
-	a.compareTime(timesOf(&a.gateway.versionTimes.eventIntervals, streamKey{a.req.service, a.model}), pace)
+	a.compareTime(timesOf(&a.gateway.versionTimes.eventIntervals, streamKey{a.req.service, a.model}), pace, 1)
 	a.reportVersion()
 }
 
@@ -184,7 +167,7 @@
 // reportLateHeader reports an attempt that was given up before the header of its response
 // arrived.
 func (a *attempt) reportLateHeader() {
-	a.compareOnly(timesOf(&a.gateway.versionTimes.headers, a.req.timingKey(a.model)), time.Since(a.began))
+	a.compareOnly(timesOf(&a.gateway.versionTimes.headers, a.req.timingKey(a.model)), time.Since(a.began), 1)
 	if a.compared.timed {
 		a.report(false)
 	} else {
--- a/internal/coordination/gateway/ended.go
+++ b/internal/coordination/gateway/ended.go
@@ -10,6 +10,7 @@
 
 	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/pause"
 )
 
 const (
@@ -18,6 +19,13 @@
 	// endedRetryPause is the first pause between two attempts to reach other servers. It
 	// doubles with each one.
 	endedRetryPause = 50 * time.Millisecond
+	// endedRefusals is the number of refusals, each right after another server accepted a
+	// connection, that show that a server has ended.
+	endedRefusals = 2
+	// endedRefusalTime bounds the time from the attempt to connect to another server to the
+	// refusal after it: many round trips between failure domains. A cut of the instance
+	// may begin between them.
+	endedRefusalTime = 100 * time.Millisecond
 	// endedMemory is how long a server that has ended is remembered, so that other
 	// requests that broke there need no check.
 	endedMemory = 5 * time.Second
@@ -119,7 +127,7 @@
 	server := a.choice.snapshot.Server
 	check, ended := g.endedChecks.add(server.Incarnation, broken, time.Now())
 	if check {
-		go g.checkEnded(server.Incarnation, server.Address, boottime.Now())
+		go g.checkEnded(server.Incarnation, server.Address, g.Clock())
 	}
 	return ended
 }
@@ -135,7 +143,7 @@
 // checkEnded checks whether a server has ended and reports the attempts that broke there.
 func (g *Gateway) checkEnded(server, address string, at boottime.Instant) {
 	found := time.Now()
-	ended, known := g.hasEnded(address)
+	ended, known := g.hasEnded(server, address)
 	var end *serverEnd
 	if ended {
 		end = &serverEnd{at: at, foundAt: found}
@@ -180,22 +188,46 @@
 	}
 }
 
-// hasEnded reports whether the server at an address has ended; known is false if it refuses
-// connections and this instance reaches no other server. An instance that is cut off is
-// refused by servers that are up, so the refusal counts only if others accept connections
-// both before and after it. It waits for others that accept connections.
-func (g *Gateway) hasEnded(address string) (ended, known bool) {
-	began := time.Now()
-	for pause := endedRetryPause; g.refuses(address); pause *= 2 {
-		if time.Since(began) >= endedMemory || !g.reachesOther() {
-			return false, false
+// hasEnded reports whether a server has ended, as this instance or a peer finds; known is
+// false if it refuses connections and this instance reaches no other server. An instance that
+// is cut off is refused by servers that are up, so a refusal counts only right after another
+// server has accepted a connection, and a cut may begin between the two, so a single one does
+// not suffice. Where requests end all servers, those that replace them may accept connections
+// for no longer than one or two round trips, so it waits for any accepted connection. What a
+// peer finds counts only if the server refuses this instance too, since the peer may be wrong.
+func (g *Gateway) hasEnded(server, address string) (ended, known bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), endedMemory)
+	defer cancel()
+	foundByPeer := func() bool { return g.Quarantine.HasEnded(server) }
+	var accepted time.Time
+	refusals := 0
+	for wait := endedRetryPause; ; wait *= 2 {
+		if !g.refuses(address) {
+			return false, true
+		}
+		refusedAt := time.Now()
+		slow := !accepted.IsZero() && refusedAt.Sub(accepted) >= endedRefusalTime
+		if !accepted.IsZero() && !slow {
+			refusals++
 		}
-		if g.Reachability.AcceptsOther(address) && g.refuses(address) && g.Reachability.AcceptsOther(address) {
+		if refusals == endedRefusals || foundByPeer() {
 			return true, true
 		}
-		time.Sleep(pause)
+		from := refusedAt
+		if slow {
+			// More attempts at once would slow down those of other checks.
+			pause.For(ctx, wait)
+			from = time.Now()
+		}
+		go g.Reachability.AcceptsOther(ctx, address)
+		accepted = g.Reachability.AwaitAccept(ctx, address, from, from.Add(wait), foundByPeer)
+		switch {
+		case foundByPeer():
+			return true, true
+		case ctx.Err() != nil:
+			return false, false
+		}
 	}
-	return false, true
 }
 
 // refuses reports whether a server refuses a new connection.
--- a/internal/coordination/gateway/events.go
+++ b/internal/coordination/gateway/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"medlarslip/internal/state/clientmemory"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -29,11 +31,18 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// memory accounts for the buffer as held bytes of the client, which may not take the
+	// events.
+	memory *clientmemory.Holding
+	held   int64
 }
 
 // eventBufferBytes is the size of the read buffer of a stream.
 const eventBufferBytes = 4 << 10
 
+// eventGrowth is the step by which the buffer of an event grows.
+const eventGrowth = 16 << 10
+
 func newEventReader(source io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(source, eventBufferBytes)}
 }
@@ -44,6 +53,9 @@
 	r.buffer = r.buffer[:0]
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if grown := r.grow(len(line)); grown != nil {
+			return event{}, grown
+		}
 		r.buffer = append(r.buffer, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
@@ -63,6 +75,34 @@
 	}
 }
 
+// grow makes room for n more bytes. It accounts for a larger buffer before that is allocated, and
+// for both buffers while one is copied. The memory of the first buffer is part of that of a
+// running request.
+func (r *eventReader) grow(n int) error {
+	needed := len(r.buffer) + n
+	switch {
+	case needed <= cap(r.buffer):
+		return nil
+	case needed <= clientmemory.FirstResponseBytes:
+		r.buffer = append(make([]byte, 0, clientmemory.FirstResponseBytes), r.buffer...)
+		return nil
+	}
+	size := (needed + eventGrowth - 1) / eventGrowth * eventGrowth
+	if r.memory.Grow(int64(size)) != nil {
+		return errBuffersFull
+	}
+	r.buffer = append(make([]byte, 0, size), r.buffer...)
+	r.memory.Shrink(r.held)
+	r.held = int64(size)
+	return nil
+}
+
+// release ends the accounting.
+func (r *eventReader) release() {
+	r.memory.Shrink(r.held)
+	r.held = 0
+}
+
 func endsEvent(raw []byte) bool {
 	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n")) || string(raw) == "\n" || string(raw) == "\r\n"
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/coordination/brittle"
 	"medlarslip/internal/coordination/escalation"
 	"medlarslip/internal/coordination/fleetlimit"
@@ -22,6 +24,7 @@
 	"medlarslip/internal/coordination/reachability"
 	"medlarslip/internal/coordination/retrybudget"
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/coordination/workload"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
 )
@@ -73,9 +76,17 @@
 	Staging *staging.Controller
 	// Instances returns the number of instances that may be running.
 	Instances func() int
+	// Senders returns the number of instances that send requests at present; nil
+	// means that Instances does.
+	Senders func() int
 	// Rank returns the position of this instance, from 0, among those that may
 	// be running, in an order that depends on the key.
 	Rank func(key string) int
+	// Pressure reports whether the settings state that callers at times compete for insufficient
+	// capacity, so that requests are admitted by load. Nil means no.
+	Pressure func() bool
+	// Accounts counts the requests of client accounts; nil if none are counted.
+	Accounts *admission.Accounts
 	// LongPromptSent is called after this instance has sent a server a long
 	// prompt, which other requests should not queue behind, so that its peers
 	// receive the new load soon.
@@ -86,9 +97,14 @@
 	AnswerValue float64
 	// FailureDomain is the failure domain of this instance.
 	FailureDomain string
-	Upstream      Upstream
-	Log           *logrus.Entry
-	Metrics       Metrics
+	// Random is the source of the gateway's random draws, safe for concurrent use; nil means
+	// the global generator.
+	Random rand.Source
+	// Clock is the clock of proofs and of the ends of servers; nil means boottime.Now.
+	Clock    func() boottime.Instant
+	Upstream Upstream
+	Log      *logrus.Entry
+	Metrics  Metrics
 }
 
 // Metrics receives the counts and durations of requests and attempts.
@@ -99,6 +115,22 @@
 	// Attempted counts an attempt, with its verdict and the time to the header
 	// of the response.
 	Attempted(service, verdict string, took time.Duration)
+	// Placed counts the choice of a server, with its cause.
+	Placed(service, cause string)
+	// Predicted records the ratios of the actual to the predicted time to the first
+	// event and to the end of a run of a kind of request; 0 if one is unknown.
+	Predicted(kind string, firstEvent, end float64)
+	// Sized counts a request of a class of expected work, with whether it met its objective
+	// and the time to its first event; 0 if there was none.
+	Sized(service, size, objective string, first time.Duration)
+	// SizePredicted records the ratio of the actual to the predicted time to the first event of a
+	// run of a request of a class; 0 if it is unknown.
+	SizePredicted(service, size string, firstEvent float64)
+	// Admitted counts what admission by load did with a run of a request of a rank, and how
+	// long the run waited for capacity.
+	Admitted(service string, rank int, outcome string, waited time.Duration)
+	// Excess counts a request above the share of its account.
+	Excess(account string)
 }
 
 // Gateway is the HTTP handler for clients. It is safe for concurrent use.
@@ -112,6 +144,7 @@
 	buffers      bodyBuffers
 	restarted    restartedServers
 	prefill      prefill.Estimators
+	workload     workload.Estimators
 	// escalation learns how much stronger models improve answers.
 	escalation escalation.Learner
 	shutdown   *shutdownState
@@ -121,11 +154,20 @@
 	shortages shortages
 	// waiting is the number of requests that wait for the configuration.
 	waiting atomic.Int64
+	// capacity holds the requests that wait for capacity, and usages the recent usage of
+	// each service.
+	capacity admission.Queue
+	usages   sync.Map // service name to *usageAt
+	// refusedAt is when each server last refused a run.
+	refusedAt sync.Map // server ID to time.Time
 }
 
 var _ http.Handler = (*Gateway)(nil)
 
 // New returns a Gateway.
 func New(opts Options) *Gateway {
+	if opts.Clock == nil {
+		opts.Clock = boottime.Now
+	}
 	return &Gateway{Options: opts, cold: newColdLimiter(), shutdown: newShutdownState(), endedChecks: newEndedChecks()}
 }
--- a/internal/coordination/gateway/keys.go
+++ b/internal/coordination/gateway/keys.go
@@ -16,7 +16,7 @@
 	r.prefix = prefixHash(&r.call)
 	r.service = chooseTarget(r.route, r.session)
 	r.keys.ID = r.call.ID
-	r.keys.Key = quarantine.RequestOf(r.accountName(), r.http.Method, r.http.Host, rawTarget(r.http), r.body)
+	r.keys.Key = quarantine.RequestOf(r.accountName(), r.http.Method, r.http.Host, rawTarget(r.http), r.body.list...)
 	for _, id := range r.call.sharedParts() {
 		r.keys.Parts = append(r.keys.Parts, quarantine.PartOf(r.service, id))
 	}
--- a/internal/coordination/gateway/noserver.go
+++ b/internal/coordination/gateway/noserver.go
@@ -2,22 +2,21 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/state/backends"
 )
 
 const (
 	// retryAfterShare is the Retry-After as a share of the time for which the
-	// service has had no server: a long outage is expected to last longer.
+	// service has had no server: a long outage is expected to last longer. It is at most
+	// admission.MaxRetryAfter.
 	retryAfterShare = 0.5
-	// maxRetryAfter bounds it, so that clients notice a recovered service.
-	maxRetryAfter = 5 * time.Second
 	// retryAfterJitter is the share by which it varies at random, so that clients
 	// that were refused together do not retry together.
 	retryAfterJitter = 0.25
@@ -53,6 +52,9 @@
 	if g.tooLateFor(req) {
 		return &refuseLeaving
 	}
+	if req.capacity.givenUp {
+		return g.noCapacity(req)
+	}
 	if block := g.Quarantine.BlockedMeanwhile(req.keys); block != nil {
 		return quarantinedBy(block)
 	}
@@ -60,10 +62,10 @@
 	elapsed := now.Sub(g.shortages.begin(req.service, now))
 	if g.Reachability.CutOff() && g.OthersReach() {
 		refused = refuseCutOff
-		refused.retryAfter = jitter(refused.retryAfter)
+		refused.retryAfter = g.jitter(refused.retryAfter)
 		return &refused
 	}
-	refused.retryAfter = jitter(max(retrySoon, min(time.Duration(retryAfterShare*float64(elapsed)), maxRetryAfter)))
+	refused.retryAfter = g.jitter(max(retrySoon, min(time.Duration(retryAfterShare*float64(elapsed)), admission.MaxRetryAfter)))
 	if wait, all := g.shortestBackoff(req.service, now); all {
 		refused.retryAfter = max(refused.retryAfter, wait)
 	}
@@ -74,8 +76,8 @@
 	return &refused
 }
 
-func jitter(wait time.Duration) time.Duration {
-	return time.Duration((1 + retryAfterJitter*(2*rand.Float64()-1)) * float64(wait))
+func (g *Gateway) jitter(wait time.Duration) time.Duration {
+	return time.Duration((1 + retryAfterJitter*(2*g.random().Float64()-1)) * float64(wait))
 }
 
 // shortestBackoff returns the shortest time until a server of a service may be
--- a/internal/coordination/gateway/observe.go
+++ b/internal/coordination/gateway/observe.go
@@ -68,6 +68,16 @@
 	return slow
 }
 
+// expected returns the mean, or 0 while there are too few samples.
+func (u *headerMean) expected() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.count < minMeanSamples {
+		return 0
+	}
+	return u.mean
+}
+
 // observe records the time to the header of a response. A response that can't be used counts
 // as a failure of the version.
 func (a *attempt) observe(took time.Duration) {
@@ -79,6 +89,7 @@
 		return
 	}
 	a.gateway.prefill.Observe(a.req.prompt(a.model), took, time.Now())
+	a.observeHeaderTime(took)
 	found, _ := a.gateway.headerMeans.LoadOrStore(a.req.timingKey(a.model), &headerMean{})
 	a.slow = found.(*headerMean).observe(took)
 	a.compareHeader(took)
--- a/internal/coordination/gateway/queue.go
+++ b/internal/coordination/gateway/queue.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/state/backends"
 )
 
-// maxReportAge is the maximum age of a load report; an older one does not
-// describe the queue.
-const maxReportAge = 3 * time.Second
-
 // meanQueueLength returns the mean number of requests that are queued at a
 // server of the service, by the latest load reports; 0 if there are none.
 func (g *Gateway) meanQueueLength(service string, now time.Time) float64 {
@@ -17,7 +14,7 @@
 	waiting, reports := 0, 0
 	for i := range servers {
 		server := servers.Snapshot(i)
-		if server.Server.Leaving || server.Load.ReadAt.IsZero() || now.Sub(server.Load.ReadAt) > maxReportAge {
+		if server.Server.Leaving || server.Load.ReadAt.IsZero() || now.Sub(server.Load.ReadAt) > admission.MaxReportAge {
 			continue
 		}
 		waiting += server.Load.Waiting
--- a/internal/coordination/gateway/refuse.go
+++ b/internal/coordination/gateway/refuse.go
@@ -35,11 +35,16 @@
 	refuseHeader          = refusal{http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "the header is larger than the limit; send a smaller one", 0}
 	refuseBody            = refusal{http.StatusBadRequest, "body_unreadable", "the body could not be read; send it whole", 0}
 	refuseBodyTimeout     = refusal{http.StatusRequestTimeout, "body_timeout", "not run: the body did not arrive in time; send it again", 0}
+	refuseEvicted         = refusal{http.StatusRequestTimeout, "body_evicted", "not run: the body stalled while memory was short; send it again", 0}
+	refuseMemory          = refusal{http.StatusServiceUnavailable, "client_memory", "not run: clients hold too much memory here; come back soon or use another address", retryLater}
 	refuseNoServer        = refusal{http.StatusServiceUnavailable, "no_server", "not run: no server may take the request now; come back soon", retrySoon}
 	refuseCutOff          = refusal{http.StatusServiceUnavailable, "cut_off", "not run: this instance reaches no server now; use another address", retrySoon}
 	refuseNotRun          = refusal{http.StatusServiceUnavailable, "not_run", "not run: every server that was asked refused; come back soon", retrySoon}
 	refuseLate            = refusal{http.StatusServiceUnavailable, "no_time_left", "not run: the time for the answer is over; allow more time", retrySoon}
+	refuseNoCapacity      = refusal{http.StatusServiceUnavailable, "no_capacity", "not run: the servers have no capacity for the request in time; come back after the given time", retrySoon}
 	refuseLost            = refusal{http.StatusBadGateway, "answer_lost", "the request may have run, and its answer is lost; check before it is repeated", 0}
+	refuseDropped         = refusal{http.StatusBadGateway, "answer_dropped", "the request may have run, and this instance has no memory for its answer; check before it is repeated", 0}
+	refuseStronger        = refusal{http.StatusBadGateway, "stronger_run_refused", "the request ran on a smaller model, whose weak answer was dropped, and no server ran a stronger one; it may be sent again", retrySoon}
 	refuseTimeout         = refusal{http.StatusGatewayTimeout, "timeout", "the request may have run, and its answer is late; check before it is repeated", 0}
 )
 
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -16,21 +16,27 @@
 
 // relay forwards the response of a server to the client. If the response fails
 // before the client has received any of it, the request is retried where that
-// is allowed.
+// is allowed; otherwise the weak answer that was kept is delivered, if there is one.
 func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, req *request, a *attempt, e *end) {
 	for {
 		if a.streams() {
 			g.relayStream(ctx, w, req, a, e)
 			return
 		}
-		body, release, err := g.buffers.readWhole(a.response)
+		body, release, err := g.buffers.readWhole(a.response, req.memory)
 		if err == nil {
 			g.observeEnd(a)
+			a.comparePrediction(time.Now())
 			g.writeWhole(w, a, body, e)
 			release()
 			a.close()
 			return
 		}
+		if errors.Is(err, errBuffersFull) {
+			a.drop()
+			*e = e.refuseWith(&refuseDropped)
+			return
+		}
 		g.observeBreak(a)
 		if a.verdict == deliver {
 			a.verdict = unknown
@@ -39,7 +45,10 @@
 		a.close()
 		next := g.retry(ctx, req, a, e)
 		if next == nil {
-			*e = e.giveUp(ctx, req, &refuseNotRun)
+			if g.deliverKept(ctx, w, req, e) {
+				return
+			}
+			*e = e.giveUp(ctx, req, g.notRun(req))
 			return
 		}
 		a = next
@@ -68,13 +77,22 @@
 }
 
 // writeWhole writes a buffered response.
-func (g *Gateway) writeWhole(w http.ResponseWriter, a *attempt, body []byte, e *end) {
+func (g *Gateway) writeWhole(w http.ResponseWriter, a *attempt, body [][]byte, e *end) {
+	a.req.releaseBody()
 	header := w.Header()
 	g.copyHeader(header, a)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	size := 0
+	for _, piece := range body {
+		size += len(piece)
+	}
+	header.Set("Content-Length", strconv.Itoa(size))
 	w.WriteHeader(a.reply.Status)
-	// A failed write means that the client has disconnected.
-	_, _ = w.Write(body)
+	for _, piece := range body {
+		// A failed write means that the client has disconnected.
+		if _, err := w.Write(piece); err != nil {
+			break
+		}
+	}
 	e.outcome = a.verdict.String()
 }
 
@@ -105,6 +123,11 @@
 			a.close()
 			return
 		}
+		if errors.Is(err, errBuffersFull) {
+			a.drop()
+			s.drop(e)
+			return
+		}
 		if !s.clientGone {
 			g.observeBreak(a)
 		}
@@ -154,6 +177,8 @@
 // is nil at the end of a whole stream.
 func (s *relayedStream) forward(a *attempt) error {
 	events := newEventReader(a.response)
+	events.memory = s.req.memory
+	defer events.release()
 	silence := a.watch(s.silenceTimeout(), staging.Stage{Only: a.version()})
 	defer silence.stop()
 	for received := 0; ; received++ {
@@ -162,7 +187,10 @@
 			if received == 0 {
 				a.reportFailure()
 			}
-			a.compareEventInterval(time.Now())
+			now := time.Now()
+			a.compareEventInterval(now)
+			a.observeStreamEnd(now)
+			a.comparePrediction(now)
 			return nil
 		}
 		if err != nil {
@@ -171,6 +199,9 @@
 		if ev.id >= 0 && ev.id <= s.last {
 			return errEventOrder
 		}
+		if ev.id >= 0 {
+			a.observeEvent(time.Now())
+		}
 		if err := s.send(a, &ev); err != nil {
 			s.clientGone = true
 			a.cancel()
@@ -199,6 +230,10 @@
 	s.gateway.copyHeader(s.w.Header(), a)
 	s.w.WriteHeader(a.reply.Status)
 	s.begun = true
+	if !s.req.route.Resumable {
+		// The request is not sent again.
+		s.req.releaseBody()
+	}
 }
 
 func (s *relayedStream) send(a *attempt, ev *event) error {
@@ -252,7 +287,7 @@
 // look complete, so the connection is closed.
 func (s *relayedStream) fail(ctx context.Context, e *end) {
 	if !s.begun {
-		*e = e.giveUp(ctx, s.req, &refuseNotRun)
+		*e = e.giveUp(ctx, s.req, s.gateway.notRun(s.req))
 		return
 	}
 	e.abort, e.outcome = true, "stream_broken"
@@ -261,6 +296,23 @@
 	}
 }
 
+// drop ends a stream that this instance has no memory for.
+func (s *relayedStream) drop(e *end) {
+	if !s.begun {
+		*e = e.refuseWith(&refuseDropped)
+		return
+	}
+	e.abort, e.outcome = true, refuseDropped.cause
+}
+
+// drop ends an attempt whose response this instance has no memory for. That is no failure of the
+// server or its version.
+func (a *attempt) drop() {
+	a.cancel()
+	a.verdict = unknown
+	a.close()
+}
+
 func (g *Gateway) logBroken(a *attempt, err error, lastEvent string) {
 	g.Log.WithError(err).WithFields(logrus.Fields{
 		"event": "stream_broken", "request_id": a.req.call.ID, "server": a.server(), "last_event": lastEvent, "shared_parts": a.req.call.sharedParts(),
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -1,23 +1,21 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
-	"sync/atomic"
 	"time"
 
-	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/retrybudget"
-	"medlarslip/internal/state/backends"
 )
 
 const (
 	// escalationShare is the share of the retry budget that runs of stronger
 	// models may use. The rest is reserved for retries after failures.
 	escalationShare = 0.8
+	// valuedEscalationShare is the same where scarce budget is spent by value. The rest
+	// covers retries after failures, which are rare while no servers fail.
+	valuedEscalationShare = 0.9
 	// retryShare is the share of the retry budget that all repeated runs may
 	// use. The margin covers requests in flight across the edge of a window.
 	retryShare = 0.95
@@ -31,6 +29,9 @@
 	for {
 		a := g.attempt(ctx, req, "", req.call.LastEventID)
 		if a == nil {
+			if g.deliverKept(ctx, w, req, e) {
+				return *e
+			}
 			return e.giveUp(ctx, req, g.noServer(ctx, req))
 		}
 		e.record(a)
@@ -76,19 +77,29 @@
 // record adds an attempt.
 func (e *end) record(a *attempt) {
 	e.verdicts = append(e.verdicts, a.verdict.String())
+	e.describe(a)
+}
+
+// describe sets the attempt whose response ends the request.
+func (e *end) describe(a *attempt) {
 	e.server, e.model, e.status = a.server(), a.model, a.reply.Status
 	e.version, e.confidence = a.version(), a.reply.Confidence
+	e.predicted = a.choice.times
 }
 
 // finish ends a request whose last attempt gave no deliverable response. An
 // error response of the server is forwarded.
 func (g *Gateway) finish(ctx context.Context, w http.ResponseWriter, req *request, a *attempt, e *end) end {
+	if g.deliverKept(ctx, w, req, e) {
+		a.close()
+		return *e
+	}
 	if a.verdict == serverFailed && ctx.Err() == nil {
 		g.relay(ctx, w, req, a, e)
 		return *e
 	}
 	a.close()
-	return e.giveUp(ctx, req, &refuseNotRun)
+	return e.giveUp(ctx, req, g.notRun(req))
 }
 
 // giveUp ends a request without a response of a server. notRun is the refusal
@@ -105,233 +116,17 @@
 		e.refused = notRun
 	case expired:
 		e.refused = &refuseTimeout
+	case req.weakDropped:
+		refused := refuseStronger
+		refused.retryAfter = max(refused.retryAfter, notRun.retryAfter)
+		e.refused = &refused
 	default:
 		e.refused = &refuseLost
 	}
-	e.outcome = e.refused.cause
-	return *e
-}
-
-// attempt is one request to a backend server.
-type attempt struct {
-	gateway  *Gateway
-	req      *request
-	choice   *selection
-	model    string
-	response RawResponse
-	reply    Reply
-	verdict  verdict
-	began    time.Time
-	// sentAt is a moment before the request was sent.
-	sentAt  boottime.Instant
-	cancel  context.CancelFunc
-	settled bool
-	ctx     context.Context
-	// slow is true if the header of the response took far longer than the
-	// moving mean.
-	slow bool
-	// compared holds the measurements that are reported for the version.
-	compared comparison
-	// timedOut is set when the watchdog cancels the attempt.
-	timedOut atomic.Bool
-	// firstEventAt is when the first event of a stream arrived; started is true once the
-	// stream has gone on for startTime since.
-	firstEventAt time.Time
-	started      bool
-}
-
-func (a *attempt) server() string { return a.choice.snapshot.Server.ID }
-
-func (a *attempt) version() string { return a.choice.snapshot.Server.Version }
-
-// giveUp cancels an attempt whose server has sent nothing for too long.
-func (a *attempt) giveUp() {
-	a.timedOut.Store(true)
-	a.cancel()
-}
-
-// attempt sends the request to a server and classifies the header of its
-// response. It returns nil if no server is available. A version other than ""
-// restricts the choice to its servers, as needed to resume a stream.
-func (g *Gateway) attempt(ctx context.Context, req *request, version, lastEventID string) *attempt {
-	a, raw := g.prepare(ctx, req, version, lastEventID)
-	if a == nil {
-		return nil
-	}
-	a.ctx, a.cancel = context.WithCancel(ctx)
-	req.tried = append(req.tried, a.server())
-	limit := a.watch(g.headerTimeout(req, a.choice, a.began), a.choice.stage)
-	endPrefill := g.beginPrefill(a.choice)
-	a.sentAt = g.Limits.Now()
-	var err error
-	a.response, err = g.Upstream.Send(a.ctx, a.choice.snapshot.Server.Address, raw)
-	endPrefill()
-	limit.stop()
-	a.judge(err)
-	return a
+	return e.refuseWith(e.refused)
 }
 
-// prepare chooses a server, unless one is reserved, and encodes the request to it. It
-// returns nil if no server is available.
-func (g *Gateway) prepare(ctx context.Context, req *request, version, lastEventID string) (*attempt, RawRequest) {
-	for {
-		choice := req.reserved
-		req.reserved = nil
-		if choice == nil {
-			choice = g.choose(ctx, req, version)
-		}
-		if choice == nil {
-			return nil, RawRequest{}
-		}
-		if g.tooLateFor(req) || g.Quarantine.BlockedMeanwhile(req.keys) != nil {
-			choice.backend.Cancel()
-			return nil, RawRequest{}
-		}
-		a := &attempt{gateway: g, req: req, choice: choice, model: req.plan.model(), began: time.Now()}
-		raw := a.encode(lastEventID)
-		if !choice.permit.Expired(g.Limits.Now()) {
-			return a, raw
-		}
-		// This process was suspended since the permit was granted.
-		choice.backend.Cancel()
-	}
-}
-
-// encode returns the request in wire format.
-func (a *attempt) encode(lastEventID string) RawRequest {
-	r := a.req
-	header := a.gateway.Codec.EncodeAttempt(r.http.Header, Attempt{
-		Remaining:   r.remaining(a.began),
-		Server:      a.server(),
-		Account:     r.accountName(),
-		Priority:    r.priority(),
-		Model:       a.model,
-		LastEventID: lastEventID,
-	})
-	var head bytes.Buffer
-	head.WriteString(r.http.Method + " " + rawTarget(r.http) + " HTTP/1.1\r\nHost: " + r.http.Host + "\r\n")
-	if len(r.body) > 0 || r.http.Method == http.MethodPost || r.http.Method == http.MethodPut || r.http.Method == http.MethodPatch {
-		header["Content-Length"] = []string{strconv.Itoa(len(r.body))}
-	}
-	// Writing to a buffer does not fail.
-	_ = header.Write(&head)
-	head.WriteString("\r\n")
-	// A permit is for one request, so it must not be written twice.
-	repeatable := r.route.Repeatable() && a.choice.permit.Unlimited()
-	return RawRequest{Method: r.http.Method, Head: head.Bytes(), Body: r.body, Repeatable: repeatable}
-}
-
-// judge classifies the attempt by the header of its response, or by err if
-// there was none, and records the outcome.
-func (a *attempt) judge(err error) {
-	took := time.Since(a.began)
-	if err != nil {
-		a.recordFailure()
-		a.verdict = judgeError(err)
-		switch a.verdict {
-		case unknown:
-			a.gateway.observeBreak(a)
-		case notRun:
-			a.gateway.observeRefusal(a, err)
-		}
-	} else {
-		a.gateway.Reachability.Received()
-		a.reply = a.gateway.Codec.DecodeReply(a.response.Status(), a.response.Header())
-		a.verdict = judgeReply(&a.reply, a.req.call.ID)
-		a.recordRestart()
-		a.recordLoad()
-		a.recordAvailability()
-		a.recordRateLimit()
-		a.recordBrittle()
-	}
-	if a.verdict != notRun || err == nil {
-		a.req.sent++
-	}
-	if a.verdict != notRun {
-		a.req.mayHaveRun = true
-	}
-	a.gateway.Metrics.Attempted(a.req.service, a.verdict.String(), took)
-	a.observe(took)
-	if a.verdict != deliver {
-		a.settle()
-	}
-	a.gateway.logAttempt(a, took, err)
-}
-
-// recordFailure records that the server has not answered, unless the client has left.
-func (a *attempt) recordFailure() {
-	if a.timedOut.Load() || a.ctx.Err() == nil {
-		a.gateway.Reachability.Failed(a.choice.snapshot.Server.Address)
-	}
-}
-
-func (a *attempt) recordLoad() {
-	if a.reply.Load == nil {
-		return
-	}
-	load := *a.reply.Load
-	load.ReadAt = time.Now()
-	a.choice.backend.SetLoad(load)
-}
-
-// recordAvailability records that the server is draining or asks for a backoff.
-func (a *attempt) recordAvailability() {
-	if a.reply.Leaving {
-		a.choice.backend.MarkDraining()
-	}
-	if a.reply.RetryAfter > 0 {
-		a.choice.backend.ExtendBackoff(time.Now().Add(a.reply.RetryAfter))
-	}
-}
-
-// recordRateLimit records the rate limit that the server states, or that it states
-// none. The header of another server, or of an answer to an earlier request, says
-// nothing about the present, and a refusal need not repeat the limit.
-func (a *attempt) recordRateLimit() {
-	limit := a.reply.RateLimit
-	if a.reply.Status == http.StatusMisdirectedRequest || a.reply.RequestID != a.req.call.ID {
-		return
-	}
-	if limit.Stated || limit.Invalid || a.verdict != notRun {
-		a.gateway.Limits.Observe(a.server(), limit, a.sentAt)
-	}
-}
-
-// settle reports the result to the backend and frees its slot, once.
-func (a *attempt) settle() {
-	if a.settled {
-		return
-	}
-	a.settled = true
-	a.choice.backend.Settle(time.Now(), time.Since(a.began), a.result())
-}
-
-func (a *attempt) result() backends.CallResult {
-	switch {
-	case a.verdict == deliver && a.slow:
-		return backends.CallSlow
-	case a.verdict == deliver:
-		return backends.CallGood
-	case a.verdict == notRun && (a.response == nil || a.reply.Status == http.StatusMisdirectedRequest):
-		return backends.CallUnreachable
-	case a.verdict == notRun:
-		return backends.CallBusy
-	case a.timedOut.Load() || a.ctx.Err() == nil:
-		return backends.CallFailed
-	default:
-		return backends.CallNeutral
-	}
-}
-
-// close ends the attempt. Where the response was not read to its end, its
-// connection is closed, so that the server stops.
-func (a *attempt) close() {
-	if a.response != nil {
-		a.response.Close()
-	}
-	a.cancel()
-	a.settle()
-	if a.verdict == deliver {
-		a.reportVersion()
-	}
+func (e *end) refuseWith(refused *refusal) end {
+	e.refused, e.outcome = refused, refused.cause
+	return *e
 }
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -9,6 +9,7 @@
 	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/coordination/workload"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
 )
@@ -26,12 +27,20 @@
 	droppedBrittle     = "brittle"
 )
 
-// random implements rand.Source with the global generator, which is safe for
+// globalRandom implements rand.Source with the global generator, which is safe for
 // concurrent use.
-type random struct{}
+type globalRandom struct{}
 
 // Uint64 implements rand.Source.
-func (random) Uint64() uint64 { return rand.Uint64() }
+func (globalRandom) Uint64() uint64 { return rand.Uint64() }
+
+// random returns the generator of the gateway's draws.
+func (g *Gateway) random() *rand.Rand {
+	if g.Random == nil {
+		return rand.New(globalRandom{})
+	}
+	return rand.New(g.Random)
+}
 
 // selection is the server chosen for one attempt.
 type selection struct {
@@ -44,12 +53,22 @@
 	prompt prefill.Estimate
 	// permit allows the request if the server states a rate limit.
 	permit fleetlimit.Permit
+	// times is what the run was expected to take; zero for placement by load.
+	times workload.Times
+	// chances holds the probabilities that the run was expected to meet its objective and its
+	// deadline; zero for placement by load.
+	chances workload.Chances
+	// outstanding is how long the server is expected to process the prompt.
+	outstanding time.Duration
+	// cause is the cause for which the server was chosen, as counted.
+	cause string
 }
 
 // choose chooses a server for the next attempt and begins a call on it. It
 // returns nil if none is available. A version other than "" is the only one
 // considered. It may wait for a permit.
 func (g *Gateway) choose(ctx context.Context, req *request, version string) *selection {
+	req.capacity.resumed = version != ""
 	stage := staging.Stage{Only: version}
 	if version == "" {
 		stage = g.stage(req)
@@ -65,19 +84,19 @@
 // chooseInStage considers only the versions of the rollout stage. If none of
 // their servers is available, it considers every version that is not excluded.
 func (g *Gateway) chooseInStage(ctx context.Context, req *request, stage staging.Stage, version string) *selection {
-	if found := g.pick(ctx, req, stage, false); found != nil {
+	if found := g.pick(ctx, req, stage, false); found != nil || req.capacity.givenUp {
 		return found
 	}
 	if stage.Trial {
 		// A session stays on the new version if no server of the rollout's subset
 		// is available.
-		if found := g.pick(ctx, req, stage.WithAllServers(), false); found != nil {
+		if found := g.pick(ctx, req, stage.WithAllServers(), false); found != nil || req.capacity.givenUp {
 			return found
 		}
 		g.Staging.RecordOldVersionUse(req.service, req.session)
 		stage = stage.Widened()
 	}
-	if found := g.pick(ctx, req, stage, true); found != nil || version != "" {
+	if found := g.pick(ctx, req, stage, true); found != nil || req.capacity.givenUp || version != "" {
 		return found
 	}
 	return g.pick(ctx, req, stage.Widened(), true)
@@ -109,11 +128,21 @@
 	list := backends.List(g.Servers.Serving(req.service))
 	service := req.index.Service(req.service)
 	prompt := g.estimate(req)
+	wait := g.newCapacityWait(req, stage, unconfirmed)
+	defer wait.leave()
 	began, refused := time.Now(), 0
 	for picks := 0; picks < maxPicks && ctx.Err() == nil; {
 		now := time.Now()
 		late := refused > 0 && now.Sub(began) >= maxPermitTime
-		chosen := g.decide(g.routingRequest(req, service, prompt, stage, unconfirmed, now), list, late || refused >= maxPermitRequests)
+		route := g.routingRequest(req, service, prompt, stage, unconfirmed, now)
+		chosen, waitLeft := wait.decide(route, list, late || refused >= maxPermitRequests)
+		if waitLeft > 0 {
+			if wait.sleep(ctx, waitLeft); g.tooLateFor(req) {
+				return nil
+			}
+			began = began.Add(time.Since(now))
+			continue
+		}
 		if chosen == nil || (late && g.Limits.Limited(chosen.Server.Server.ID)) {
 			return nil
 		}
@@ -122,6 +151,8 @@
 			picks++
 			continue
 		}
+		// The call counts at the server now, so that the next waiting request sees it.
+		wait.leave()
 		if !g.takeBrittle(req.service, backend) {
 			backend.Cancel()
 			picks++
@@ -139,7 +170,16 @@
 			picks++
 			continue
 		}
-		return &selection{backend: backend, snapshot: chosen.Server, prompt: prompt, permit: permit}
+		wait.admitted()
+		outstanding := prompt.Time
+		if chosen.Warm {
+			outstanding -= route.PrefixPrefill
+		}
+		return &selection{
+			outstanding: outstanding,
+			backend:     backend, snapshot: chosen.Server, prompt: prompt, permit: permit,
+			times: chosen.Times, chances: req.chances(route, chosen), cause: placementCause(route.Expected != nil, chosen),
+		}
 	}
 	return nil
 }
@@ -150,11 +190,11 @@
 	if preferUnlimited {
 		unlimited := *route
 		unlimited.Admit = g.admitUnlimited(route.Admit)
-		if chosen := routing.Decide(&unlimited, list, rand.New(random{})).Chosen(); chosen != nil {
+		if chosen := routing.Decide(&unlimited, list, g.random()).Chosen(); chosen != nil {
 			return chosen
 		}
 	}
-	return routing.Decide(route, list, rand.New(random{})).Chosen()
+	return routing.Decide(route, list, g.random()).Chosen()
 }
 
 // admitUnlimited restricts admit to servers without a rate limit.
@@ -169,18 +209,20 @@
 
 func (g *Gateway) routingRequest(req *request, service *routes.Service, prompt prefill.Estimate, stage staging.Stage, unconfirmed bool, now time.Time) *routing.Request {
 	canaryServers := g.canaryServers(req.service, stage)
+	expected := g.expect(req, prompt, now)
 	return &routing.Request{
 		Target:        req.service,
 		FailureDomain: g.FailureDomain,
 		Now:           now,
 		Remaining:     req.remaining(now),
-		Entries:       g.Instances(),
+		Entries:       g.entries(expected != nil),
 		Exclude:       req.tried,
 		PrefixHash:    req.prefix,
 		Prefill:       prompt.Time,
 		PrefixPrefill: req.sharedPrefill(prompt.Time),
 		LongPrompt:    prompt.Long,
 		LongShare:     prompt.LongShare,
+		Expected:      expected,
 		DomainOut:     g.DomainOut,
 		Admit: func(server *backends.Snapshot) string {
 			switch {
@@ -206,6 +248,15 @@
 	}
 }
 
+// entries returns the number of instances that share the servers; for placement by cost
+// only those that send requests at present.
+func (g *Gateway) entries(byCost bool) int {
+	if byCost && g.Senders != nil {
+		return g.Senders()
+	}
+	return g.Instances()
+}
+
 // canaryServers returns the number of canary servers among which a stage
 // focuses on some; 0 where a stage does not.
 func (g *Gateway) canaryServers(service string, stage staging.Stage) int {
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -10,7 +10,9 @@
 	"medlarslip/internal/boottime"
 	"medlarslip/internal/coordination/quarantine"
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/coordination/workload"
 	"medlarslip/internal/protocol/routes"
+	"medlarslip/internal/state/clientmemory"
 )
 
 // request is the state of one client request.
@@ -20,7 +22,11 @@
 	index   *routes.Index
 	account *routes.Account
 	http    *http.Request
-	body    []byte
+	body    pieces
+	// memory accounts for what the client makes this instance hold.
+	memory *clientmemory.Holding
+	// counted is true once the fixed memory of the request is accounted for.
+	counted bool
 	// bodyRead is true once the whole body is in body.
 	bodyRead bool
 	started  time.Time
@@ -40,12 +46,25 @@
 	keys quarantine.Request
 	// reserved is the server chosen for the next attempt; nil if none is.
 	reserved *selection
+	// size is the class of the expected work, SizeUnknown for placement by load. classified is
+	// true once it was determined.
+	size       workload.Size
+	classified bool
 	// tried lists the IDs of the servers of all attempts.
 	tried []string
 	// sent counts the attempts that may have reached a server.
 	sent int
+	// capacity is the state of the request with regard to waiting for capacity.
+	capacity capacityState
 	// mayHaveRun is true once a server may have begun to process the request.
 	mayHaveRun bool
+	// weakDropped is true once a weak answer was dropped, until a server may have begun a
+	// stronger run.
+	weakDropped bool
+	// kept is the latest weak answer that is kept while a stronger model runs; nil if none is.
+	kept *keptAnswer
+	// keptBytes is the memory that is accounted for answers that were kept.
+	keptBytes int64
 }
 
 var errRequestExpired = errors.New("deadline of the request exceeded")
@@ -58,6 +77,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, refused := g.admit(w, r, started)
+	if req != nil {
+		defer req.release()
+	}
 	if refused != nil {
 		g.logRefusal(req, r, refused)
 		refused.write(w)
@@ -65,6 +87,11 @@
 	}
 	ctx, cancel := req.withDeadline(r.Context())
 	defer cancel()
+	g.Staging.BeginRequest(req.service, req.session)
+	defer g.Staging.EndRequest(req.service, req.session)
+	if g.Accounts != nil {
+		g.Accounts.Count(req.accountName())
+	}
 	end := g.run(ctx, w, req)
 	g.logEnd(req, &end)
 	if end.refused != nil {
@@ -91,7 +118,11 @@
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, cause: "bad_header", remedy: err.Error()}
 	}
-	req := &request{call: call, http: r, started: started}
+	req := &request{call: call, http: r, started: started, memory: clientmemory.FromContext(r.Context())}
+	if err := req.memory.BeginRequest(int64(headerBytes(r))); err != nil {
+		return req, bodyRefusal(err)
+	}
+	req.counted = true
 	refused := g.findRoute(req)
 	if g.mayWait(refused) {
 		refused = g.awaitConfiguration(w, req, refused)
@@ -129,7 +160,7 @@
 // never accepted.
 func (g *Gateway) authorize(req *request, provenAt boottime.Instant) *refusal {
 	maxAge := g.Bounds().MaxProofAge
-	stale := maxAge > 0 && boottime.Now().Since(provenAt) > maxAge
+	stale := maxAge > 0 && g.Clock().Since(provenAt) > maxAge
 	req.route = req.index.Match(hostName(req.http.Host), rawPath(req.http))
 	switch {
 	case req.route == nil && stale:
@@ -208,6 +239,20 @@
 	return r.route.Priority
 }
 
+// maxSentPriority is the lowest priority that is sent to servers, and excessPriority by how much the
+// priority of a request above the share of its account is lowered: below those of all usual routes.
+const (
+	maxSentPriority = 9
+	excessPriority  = 5
+)
+
+func (r *request) sentPriority() int {
+	if r.capacity.excess {
+		return max(r.priority(), min(r.priority()+excessPriority, maxSentPriority))
+	}
+	return r.priority()
+}
+
 func (r *request) accountName() string {
 	if r.account == nil {
 		return ""
--- a/internal/coordination/gateway/shutdown.go
+++ b/internal/coordination/gateway/shutdown.go
@@ -32,7 +32,10 @@
 
 // RefuseNew refuses every further request, so that none is in flight when the
 // process exits.
-func (g *Gateway) RefuseNew() { g.shutdown.refuseNew.Store(true) }
+func (g *Gateway) RefuseNew() {
+	g.shutdown.refuseNew.Store(true)
+	g.capacity.WakeAll()
+}
 
 // tooLateFor reports whether a request that no server has run must not be sent to one any
 // more. Its body may have arrived, or a server may have become available, only after
--- a/internal/coordination/gateway/timeout.go
+++ b/internal/coordination/gateway/timeout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/protocol/routes"
 )
 
@@ -51,7 +52,7 @@
 // which could explain a late response. It is false without a prefill estimate.
 func (s *selection) idle(now time.Time) bool {
 	load := &s.snapshot.Load
-	return s.prompt.Time > 0 && !load.ReadAt.IsZero() && now.Sub(load.ReadAt) < maxReportAge && load.Waiting == 0
+	return s.prompt.Time > 0 && !load.ReadAt.IsZero() && now.Sub(load.ReadAt) < admission.MaxReportAge && load.Waiting == 0
 }
 
 // idleHeaderTimeout returns how long to wait for the header of a server without
--- a/internal/coordination/gateway/timeout_test.go
+++ b/internal/coordination/gateway/timeout_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/coordination/prefill"
 	"medlarslip/internal/protocol/routes"
 	"medlarslip/internal/state/backends"
@@ -28,7 +29,7 @@
 		{"slow by four times", backends.Load{ReadAt: now}, 0, 400 * time.Millisecond, 2200 * time.Millisecond},
 		{"reads long prompts", backends.Load{ReadAt: now}, time.Second, time.Second, streamHeaderTimeoutFactor * objective},
 		{"has a queue", backends.Load{Waiting: 1, ReadAt: now}, 0, 50 * time.Millisecond, streamHeaderTimeoutFactor * objective},
-		{"old report", backends.Load{ReadAt: now.Add(-2 * maxReportAge)}, 0, 50 * time.Millisecond, streamHeaderTimeoutFactor * objective},
+		{"old report", backends.Load{ReadAt: now.Add(-2 * admission.MaxReportAge)}, 0, 50 * time.Millisecond, streamHeaderTimeoutFactor * objective},
 		{"no report", backends.Load{}, 0, 50 * time.Millisecond, streamHeaderTimeoutFactor * objective},
 		{"no prompt", backends.Load{ReadAt: now}, 0, 0, streamHeaderTimeoutFactor * objective},
 	}
--- a/internal/coordination/gateway/upstream.go
+++ b/internal/coordination/gateway/upstream.go
@@ -12,7 +12,8 @@
 	Method string
 	// Head is the request line and the header, with the final empty line.
 	Head []byte
-	Body []byte
+	// Body is the body in parts.
+	Body [][]byte
 	// Repeatable is true where the request may be written again if a reused
 	// connection turns out to be closed. Other requests are written once, on a
 	// new connection.
--- a/internal/coordination/gateway/wait_test.go
+++ b/internal/coordination/gateway/wait_test.go
@@ -30,6 +30,14 @@
 func (noMetrics) Answered(string, string, time.Duration)  {}
 func (noMetrics) Attempted(string, string, time.Duration) {}
 
+func (noMetrics) Placed(string, string) {}
+
+func (noMetrics) Predicted(string, float64, float64)          {}
+func (noMetrics) Admitted(string, int, string, time.Duration) {}
+func (noMetrics) Sized(string, string, string, time.Duration) {}
+func (noMetrics) SizePredicted(string, string, float64)       {}
+func (noMetrics) Excess(string)                               {}
+
 // startingInstance is an instance that receives its configuration, which has no
 // routes, knownAfter its start, and expects it for expectedFor.
 type startingInstance struct{ knownAfter, expectedFor, deadline time.Duration }
--- a/internal/coordination/gateway/watchdog.go
+++ b/internal/coordination/gateway/watchdog.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -70,6 +69,6 @@
 	}
 	list := backends.List(g.Servers.Serving(req.service))
 	question := g.routingRequest(req, req.index.Service(req.service), g.estimate(req), stage, true, now)
-	decision := routing.Decide(question, list, rand.New(random{}))
+	decision := routing.Decide(question, list, g.random())
 	return decision.Chosen() != nil
 }
--- a/internal/coordination/keyedlog/proof.go
+++ b/internal/coordination/keyedlog/proof.go
@@ -1,6 +1,9 @@
 package keyedlog
 
 import (
+	"cmp"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,16 +77,88 @@
 	return f.opts.Revisions()
 }
 
-// AdoptProof adopts the proof of a peer. It ignores the proof unless all records up to
-// its position have been applied here.
-func (f *Follower) AdoptProof(proof Proof) {
+// AdoptProof adopts the proof of a peer once all records up to its position have been
+// applied here. Until then the latest proofs are kept: the datagram that shows an instance
+// which records it lacks carries the proof of these records, too. The peer may not know that
+// the store was restored: a proof from before the records were complete is ignored.
+func (f *Follower) AdoptProof(proof Proof) { f.adoptProof(statedProof{proof, false}) }
+
+// AdoptSettledProof is AdoptProof for the proof of a peer that knew of the restore with which
+// the era began, and proves only records that are complete. Its moment is a lower bound, which
+// may be before that.
+func (f *Follower) AdoptSettledProof(proof Proof) { f.adoptProof(statedProof{proof, true}) }
+
+func (f *Follower) adoptProof(proof statedProof) {
 	if f.Applied().Covers(proof.Position) {
-		f.prove(proof.At)
+		f.prove(proof)
+		return
+	}
+	f.pending.add(proof)
+	// The records may have been applied meanwhile.
+	f.adoptPendingProofs()
+}
+
+// adoptPendingProofs adopts the kept proofs up to whose positions all records have been
+// applied.
+func (f *Follower) adoptPendingProofs() {
+	for _, proof := range f.pending.take(f.Applied()) {
+		f.prove(proof)
 	}
 }
 
-// prove raises provenAt; it ignores earlier moments.
-func (f *Follower) prove(at boottime.Instant) { raise(&f.provenAt, int64(at)) }
+// statedProof is the proof of a peer. settled is true if the peer knew of the restore with
+// which the era began.
+type statedProof struct {
+	Proof
+	settled bool
+}
+
+// maxPendingProofs bounds the proofs that are kept: those of each leader for two positions.
+const maxPendingProofs = 4
+
+// pendingProofs holds the latest proofs of peers whose records have not been applied yet.
+type pendingProofs struct {
+	mu     sync.Mutex
+	proofs []statedProof
+}
+
+// add keeps a proof. The one for the earliest moment makes room for it.
+func (p *pendingProofs) add(proof statedProof) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proofs = append(p.proofs, proof)
+	slices.SortFunc(p.proofs, func(a, b statedProof) int { return cmp.Compare(b.At, a.At) })
+	p.proofs = p.proofs[:min(len(p.proofs), maxPendingProofs)]
+}
+
+// take removes the proofs that the applied records cover, and returns them.
+func (p *pendingProofs) take(applied Position) (taken []statedProof) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proofs = slices.DeleteFunc(p.proofs, func(proof statedProof) bool {
+		covered := applied.Covers(proof.Position)
+		if covered {
+			taken = append(taken, proof)
+		}
+		return covered
+	})
+	return taken
+}
+
+// prove raises provenAt to the moment of a proof; it ignores earlier moments, and those at
+// which the records of the present era were not complete. A proof of a former era is one of
+// the records before the restore.
+func (f *Follower) prove(proof statedProof) {
+	if !f.hasNewest() {
+		return
+	}
+	f.eras.mu.Lock()
+	defer f.eras.mu.Unlock()
+	if proof.Position.Era == f.eras.read && !proof.settled && int64(proof.At) < f.settledAt.Load() {
+		return
+	}
+	raise(&f.provenAt, int64(proof.At))
+}
 
 // raise sets a value unless it is higher already.
 func raise(value *atomic.Int64, to int64) {
@@ -102,15 +177,25 @@
 	if !f.complete(began) {
 		return
 	}
-	f.ownProof.Store(&Proof{Position: position, At: began})
-	f.prove(began)
+	f.eras.mu.Lock()
+	defer f.eras.mu.Unlock()
+	// A peer may have shown the restore meanwhile.
+	if int64(began) >= f.settledAt.Load() {
+		f.ownProof.Store(&Proof{Position: position, At: began})
+		raise(&f.provenAt, int64(began))
+	}
 }
 
 // complete reports whether the records of the store were complete at a moment, as far
 // as this instance knows.
 func (f *Follower) complete(at boottime.Instant) bool {
+	return int64(at) >= f.settledAt.Load() && f.hasNewest()
+}
+
+// hasNewest reports whether the records of the store include the highest known revision.
+func (f *Follower) hasNewest() bool {
 	revisions := f.revisions()
-	return int64(at) >= f.settledAt.Load() && revisions.Stored >= max(revisions.Known, f.required.Load())
+	return revisions.Stored >= max(revisions.Known, f.required.Load())
 }
 
 // Incomplete reports whether the store was restored from an older copy and has not got
@@ -135,6 +220,7 @@
 	}
 	f.required.Store(claim.revision)
 	f.ownProof.Store(nil)
+	f.fromPeer.Store(false)
 	f.opts.Log.WithField("event", "revision_missing").WithField("known", known).WithField("required", claim.revision).
 		Warn("a peer knows a newer record that the store has lost; refusing to use the older one")
 }
--- a/internal/coordination/keyedlog/relay.go
+++ b/internal/coordination/keyedlog/relay.go
@@ -64,6 +64,7 @@
 // and the highest revision that it knows. If the peer is ahead, its records will be
 // fetched. It does not block.
 func (f *Follower) ObservePeer(position Position, revision int64, address string) {
+	f.observePeerEra(position)
 	f.observeRevision(position, revision)
 	if !f.Applied().Before(position) {
 		return
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -149,7 +149,7 @@
 				must.True(t, first.leaving("s1"))
 				must.True(t, second.leaving("s1"))
 				must.Eq(t, 1, inFlight.Snapshot().InFlight, must.Sprint("request in flight was ended"))
-				inFlight.End(time.Second, true)
+				inFlight.Settle(time.Now(), time.Second, backends.CallGood)
 				must.Eq(t, 0, inFlight.Snapshot().Failures)
 			})
 		})
--- a/internal/coordination/peers/cutoff_test.go
+++ b/internal/coordination/peers/cutoff_test.go
@@ -80,3 +80,34 @@
 		}))
 	}
 }
+
+// TestAnnouncedChangesAreRepeated guards against a lost datagram that keeps a change of the
+// state of an instance from a peer until the next round: if that is lost as well, its
+// directory lists the instance for too long.
+func TestAnnouncedChangesAreRepeated(t *testing.T) {
+	const size, known = 8, 200 * time.Millisecond
+	t.Run(fmt.Sprint(size), inFleet(size, func(f *fleet) {
+		for round := range 6 {
+			cutOff := round%2 == 0
+			want := 0
+			if cutOff {
+				want = (size + 1) / 2
+			}
+			changedAt := time.Now()
+			f.network.mu.Lock()
+			f.network.cut = func(string, string) bool { return time.Since(changedAt) < 60*time.Millisecond }
+			f.network.mu.Unlock()
+			f.setCutOff(cutOff)
+			time.Sleep(known)
+			late := 0
+			for _, m := range f.members {
+				if listedCutOff(m) != want {
+					late++
+				}
+			}
+			// One of the repeated datagrams may be lost, too.
+			must.LessEq(f.t, 2, late)
+			time.Sleep(3*time.Second + time.Duration(round)*70*time.Millisecond)
+		}
+	}))
+}
--- a/internal/coordination/peers/datagram.go
+++ b/internal/coordination/peers/datagram.go
@@ -16,6 +16,10 @@
 	Age time.Duration `cbor:"2,keyasint"`
 	// Era is the era of the store to which End belongs; 0 if it is not known.
 	Era int64 `cbor:"3,keyasint,omitempty"`
+	// Settled is true if the sender knows that Era began recently with a restore of the store.
+	// The proof is then from after the records were complete, although the receiver's lower
+	// bound of its moment may be before that.
+	Settled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Echo lets the receiver of a datagram bound how long it was in transit. The
@@ -49,6 +53,8 @@
 	// Peers is the number of other instances that the sender knows; 0 if it does not
 	// say.
 	Peers int `cbor:"9,keyasint,omitempty"`
+	// Probe is set only in datagrams that carry nothing else.
+	Probe *probe `cbor:"10,keyasint,omitempty"`
 }
 
 // provenAt returns a lower bound, on the receiver's clock, of the moment to which
--- a/internal/coordination/peers/exchange.go
+++ b/internal/coordination/peers/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,6 +18,8 @@
 // target is the destination of a datagram, with the fields that differ between the
 // datagrams of a round.
 type target struct {
+	// name is the name of the receiver of a scheduled datagram or of a reply; empty otherwise.
+	name    string
 	address string
 	echo    boottime.Instant
 	// wantsReply requests a reply; have is the known version of the receiver's
@@ -34,6 +37,7 @@
 	defer stop()
 	group.Go(func() error { return t.receive(ctx, conn) })
 	group.Go(func() error { return t.send(ctx, conn) })
+	group.Go(func() error { return t.watch(ctx, conn) })
 	return group.Wait()
 }
 
@@ -55,7 +59,12 @@
 		if cbor.Unmarshal(buffer[:n], &d) != nil {
 			continue
 		}
+		if d.Probe != nil {
+			t.handleProbe(conn, d.Probe)
+			continue
+		}
 		if d.Permit != nil {
+			t.heard(d.Instance.Name)
 			t.handlePermit(conn, &d)
 			continue
 		}
@@ -79,10 +88,10 @@
 
 // reply sends the roster to the sender of a datagram.
 func (t *Table) reply(conn net.PacketConn, d *datagram) {
-	to := target{address: d.Instance.PeerAddress, echo: d.Echo.Sent}
+	to := target{name: d.Instance.Name, address: d.Instance.PeerAddress, echo: d.Echo.Sent}
 	content := t.content()
 	content.Roster = t.roster.since(content.Instance.Run, d.Have)
-	t.sendTo(conn, content, &to)
+	t.sendReply(conn, content, &to)
 }
 
 // handlePermit passes on a message about a permit and sends its reply.
@@ -121,17 +130,28 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	t.runRound(conn, 0, false)
+	var repeat <-chan time.Time
+	state := stateOf(t.opts.Self())
 	for round := 1; ; {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-repeat:
+			repeat = nil
+			t.sendRound(conn, round, true)
 		case <-t.announceLoad:
 			t.sendLoad(conn)
 			pause.For(ctx, minRoundPause)
+		case <-t.announceUrgent:
+			t.sendUrgent(conn)
+			pause.For(ctx, minRoundPause)
 		case <-t.announce:
 			pause.For(ctx, minRoundPause)
 			t.runRound(conn, round, true)
 			round++
+			if now := stateOf(t.opts.Self()); now != state && !t.Large() {
+				state, repeat = now, time.After(repeatDelay)
+			}
 		case <-ticker.C:
 			t.runRound(conn, round, false)
 			round++
@@ -139,8 +159,15 @@
 	}
 }
 
+// instanceState is the part of the description of an instance on which directories depend.
+type instanceState struct{ ready, storeLost, leaving, cutOff bool }
+
+func stateOf(i Instance) instanceState {
+	return instanceState{i.Ready, i.StoreLost, i.Leaving, i.CutOff}
+}
+
 func (t *Table) runRound(conn net.PacketConn, round int, broadcast bool) {
-	t.updateOrder()
+	t.updateWatching(t.updateOrder())
 	if t.Large() {
 		t.updateRoster()
 	}
@@ -160,6 +187,24 @@
 	}
 }
 
+// sendUrgent sends the urgent payload and the suspicions.
+func (t *Table) sendUrgent(conn net.PacketConn) {
+	urgent := datagram{Instance: t.opts.Self()}
+	if t.opts.UrgentPayload != nil {
+		urgent.Payload = t.opts.UrgentPayload()
+	}
+	urgent.Payload.Suspicions = t.detector.Report()
+	if !t.Large() {
+		// Receivers in a small fleet replace the times that they know by those of each datagram.
+		urgent.Payload.Prefill = t.opts.Prefill()
+	}
+	targets := t.urgentTargets()
+	for i := range targets {
+		targets[i].name = ""
+		t.sendTo(conn, urgent, &targets[i])
+	}
+}
+
 // sendRound sends the datagrams of a round.
 func (t *Table) sendRound(conn net.PacketConn, round int, broadcast bool) {
 	targets := t.targets(round, broadcast)
@@ -175,6 +220,7 @@
 // content returns the part of a datagram that is the same for all receivers.
 func (t *Table) content() datagram {
 	d := datagram{Instance: t.opts.Self(), Payload: t.opts.Payload(), Proof: t.opts.Proof(), Peers: t.Known() - 1}
+	d.Payload.Suspicions = t.detector.Report()
 	if !t.Large() {
 		// In a large fleet sendLoad sends it to those that need it.
 		d.Payload.Prefill = t.opts.Prefill()
@@ -183,17 +229,21 @@
 }
 
 // sendTo sends a datagram. Errors are ignored: a failed send is equivalent to a
-// lost datagram.
-func (t *Table) sendTo(conn net.PacketConn, d datagram, to *target) {
+// lost datagram. It returns the timestamp of the datagram.
+func (t *Table) sendTo(conn net.PacketConn, d datagram, to *target) boottime.Instant {
 	d.Echo = Echo{Sent: t.opts.Clock(), Echoed: to.echo}
 	d.WantsReply, d.Have = to.wantsReply, to.have
+	if to.name != "" && t.opts.Learned != nil {
+		d.Payload.Learned = t.opts.Learned(to.name, slices.Contains(t.leaders(), to.name))
+	}
 	content, err := cbor.Marshal(&d)
 	if err != nil || len(content) > maxDatagram {
-		return
+		return d.Echo.Sent
 	}
 	address, err := net.ResolveUDPAddr("udp4", to.address)
 	if err != nil {
-		return
+		return d.Echo.Sent
 	}
 	_, _ = conn.WriteTo(content, address)
+	return d.Echo.Sent
 }
--- a/internal/coordination/peers/export_test.go
+++ b/internal/coordination/peers/export_test.go
@@ -17,3 +17,6 @@
 	defer t.mu.Unlock()
 	do()
 }
+
+// UpdateBusy updates what a table knows about busy instances.
+func UpdateBusy(t *Table, running []Instance) { t.updateBusy(running) }
--- a/internal/coordination/peers/lead.go
+++ b/internal/coordination/peers/lead.go
@@ -35,9 +35,9 @@
 	return len(order)
 }
 
-// TopRanked reports whether this instance is among the first smallFleet instances,
-// by rank, of all instances ever discovered.
-func (t *Table) TopRanked() bool {
+// KnownRank returns the index of this instance in the order by rank of all instances ever
+// discovered.
+func (t *Table) KnownRank() int {
 	known := []Instance{t.opts.Self()}
 	t.mu.Lock()
 	for _, p := range t.peers {
@@ -45,7 +45,7 @@
 	}
 	t.mu.Unlock()
 	sortByRank(known)
-	return slices.ContainsFunc(known[:min(len(known), smallFleet)], func(i Instance) bool { return i.Name == t.opts.Name })
+	return slices.IndexFunc(known, func(i Instance) bool { return i.Name == t.opts.Name })
 }
 
 // LeadsByRank reports whether this instance would lead if all running instances
@@ -77,8 +77,8 @@
 // ready and have not lost the store. If there are none, as at the start of a fleet,
 // those that are not leaving and have not lost the store are candidates; then those that
 // the store has not failed to answer since it last answered another one; if there are none
-// either, all running instances are.
-func (t *Table) updateOrder() {
+// either, all running instances are. It returns the running instances, sorted by rank.
+func (t *Table) updateOrder() []Instance {
 	running := t.Running()
 	sortByRank(running)
 	byRank := namesOf(running, func(*Instance) bool { return true })
@@ -97,6 +97,7 @@
 	t.updateBusy(running)
 	t.byRank.Store(&byRank)
 	t.updateCoordinators(running)
+	return running
 }
 
 func namesOf(instances []Instance, match func(*Instance) bool) []string {
@@ -125,14 +126,19 @@
 	slices.SortStableFunc(instances, func(a, b Instance) int { return cmp.Compare(rank[a.Name], rank[b.Name]) })
 }
 
-// updateBusy selects the receivers of load announcements from the running
-// instances, which are sorted by rank.
+// updateBusy counts the busy instances among the running ones, which are sorted by
+// rank, and selects the receivers of load announcements.
 func (t *Table) updateBusy(running []Instance) {
-	busy := []target{}
+	busy, others := []target{}, 0
 	for i := range running {
-		if running[i].Busy && running[i].Name != t.opts.Name && len(busy) < smallFleet {
+		if !running[i].Busy || running[i].Name == t.opts.Name {
+			continue
+		}
+		others++
+		if len(busy) < smallFleet {
 			busy = append(busy, target{address: running[i].PeerAddress})
 		}
 	}
 	t.busy.Store(&busy)
+	t.otherSenders.Store(int64(others))
 }
--- a/internal/coordination/peers/payload.go
+++ b/internal/coordination/peers/payload.go
@@ -1,11 +1,17 @@
 package peers
 
 import (
+	"time"
+
+	"medlarslip/internal/boottime"
+	"medlarslip/internal/coordination/admission"
 	"medlarslip/internal/coordination/brittle"
 	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/quarantine"
 	"medlarslip/internal/coordination/rollout"
 	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/coordination/suspicion"
+	"medlarslip/internal/coordination/workload"
 )
 
 // Instance describes an instance to its peers.
@@ -35,6 +41,9 @@
 	// StoreReached is true if the store has answered a peer since it last failed to answer
 	// the instance. It qualifies StoreLost.
 	StoreReached bool `json:"-" cbor:"12,keyasint,omitempty"`
+	// RanksByWeight is true if the instance uses WeightedRank in a large fleet. It is false for
+	// the previous build.
+	RanksByWeight bool `json:"ranks_by_weight,omitempty" cbor:"13,keyasint,omitempty"`
 }
 
 // Payload is the state that a datagram carries in addition to the description of
@@ -49,7 +58,7 @@
 	// Counts are the sender's counts for the open rollouts.
 	Counts []rollout.ArmCounts `cbor:"3,keyasint,omitempty"`
 	// ActiveSessions are the sessions that the sender recently observed on an old
-	// version.
+	// version, for peers of the previous build. They are not set otherwise.
 	ActiveSessions []staging.ActiveSession `cbor:"4,keyasint,omitempty"`
 	// RelayedSessions are the active sessions that a leader received from others.
 	RelayedSessions []staging.ActiveSession `cbor:"5,keyasint,omitempty"`
@@ -64,4 +73,38 @@
 	Quarantine *quarantine.Report `cbor:"9,keyasint,omitempty"`
 	// Brittle lists the brittle servers that turned requests away recently.
 	Brittle []brittle.Report `cbor:"10,keyasint,omitempty"`
+	// Sessions states when sessions used which version of a service; nil in datagrams of
+	// the previous build.
+	Sessions *staging.SessionReport `cbor:"11,keyasint,omitempty"`
+	// Accounts counts the requests of client accounts; nil if they are not counted.
+	Accounts *admission.AccountsReport `cbor:"12,keyasint,omitempty"`
+	// Learned is the result of Options.Learned; nil in most datagrams and in those of the
+	// previous build.
+	Learned *workload.Report `cbor:"13,keyasint,omitempty"`
+	// BrittleServices lists the services whose servers are brittle; nil in datagrams of the
+	// previous build.
+	BrittleServices []brittle.Statement `cbor:"14,keyasint,omitempty"`
+	// Restored states that the store was restored recently; nil if the sender does not know
+	// of that, and in datagrams of the previous build.
+	Restored *Restore `cbor:"15,keyasint,omitempty"`
+	// Suspicions states which instances are suspected of failure; nil if the sender knows of
+	// none, and in datagrams of the previous build. The table sets it.
+	Suspicions *suspicion.Report `cbor:"16,keyasint,omitempty"`
+}
+
+// Restore states that an era of the store began with a restore from an older copy.
+type Restore struct {
+	Era int64 `cbor:"1,keyasint"`
+	// Age is the time from the earliest known observation to the sending of the datagram.
+	Age time.Duration `cbor:"2,keyasint"`
+}
+
+// ObservedAt returns the moment of the observation, at the latest, for a datagram that arrived
+// at a moment; false if the age is invalid. A negative age would be an observation in the future,
+// after which nothing is proven until then.
+func (r *Restore) ObservedAt(arrived boottime.Instant) (at boottime.Instant, valid bool) {
+	if r == nil || r.Era <= 0 || r.Age < 0 {
+		return 0, false
+	}
+	return arrived - boottime.Instant(r.Age), true
 }
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -7,17 +7,13 @@
 package peers
 
 import (
-	"cmp"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"medlarslip/internal/boottime"
-	"medlarslip/internal/coordination/fleetlimit"
+	"medlarslip/internal/coordination/suspicion"
 )
 
 const (
@@ -50,6 +46,10 @@
 	Leaders = 2
 	// minRoundPause is the minimum time between two announced rounds of datagrams.
 	minRoundPause = 50 * time.Millisecond
+	// repeatDelay is the time after which an announced change of the state of an instance
+	// is sent once more in a small fleet. Where both datagrams and that of the next round
+	// are lost, which is rare, a directory learns of it more than half a second late.
+	repeatDelay = 2 * minRoundPause
 	// maxDatagram is the maximum size of a datagram in bytes: well above what a
 	// fleet with a few rollouts sends, and below the limit of UDP.
 	maxDatagram = 32 << 10
@@ -66,35 +66,8 @@
 	pending     int
 	// roster is the peer's roster as received; nil if it has sent none.
 	roster *receivedRoster
-}
-
-// Options configures a Table. All fields are required.
-type Options struct {
-	// Name is the name of this instance.
-	Name string
-	// Self returns the description of this instance.
-	Self func() Instance
-	// Payload returns the payload of the next datagrams, without Prefill.
-	Payload func() Payload
-	// Prefill returns the time in milliseconds that backend servers need for the
-	// prompts that this instance has sent them, by server ID.
-	Prefill func() map[string]int64
-	// Proof returns a proof from this instance's own reads; nil if it has none.
-	Proof func() *Proof
-	// OnPayload is called with the payload of each received datagram, which was
-	// sent at sentAfter or later, on Clock; 0 means unknown.
-	OnPayload func(peer *Instance, payload *Payload, sentAfter boottime.Instant)
-	// OnPermit is called with each received message about a permit, and returns
-	// the reply; nil for none.
-	OnPermit func(m *fleetlimit.Message) *fleetlimit.Message
-	// OnProof is called with each usable proof of a peer, which applies to a moment
-	// not before at.
-	OnProof func(proof *Proof, at boottime.Instant)
-	// Now is the clock of all timeouts.
-	Now func() time.Time
-	// Clock is the clock of Echo. It includes the time during which the machine
-	// was suspended.
-	Clock func() boottime.Instant
+	// relays states which relayed uses of sessions the run of the peer has received.
+	relays relays
 }
 
 // Table tracks the other instances of the fleet. It is safe for concurrent use.
@@ -117,16 +90,27 @@
 	conn atomic.Pointer[net.PacketConn]
 	// busy holds the busy instances, at most smallFleet of them, which receive
 	// load announcements.
-	busy         atomic.Pointer[[]target]
+	busy atomic.Pointer[[]target]
+	// otherSenders is the number of busy instances without this one.
+	otherSenders atomic.Int64
 	announce     chan struct{}
 	announceLoad chan struct{}
+	// announceUrgent requests a datagram with the urgent payload.
+	announceUrgent chan struct{}
 	// roster is the roster that this instance sends in its replies.
 	roster roster
+	// watching holds the instances that watch each other. It is updated in every round.
+	watching atomic.Pointer[watching]
+	detector *suspicion.Detector
+	// suspicionsArrived triggers a tick of the detector.
+	suspicionsArrived chan struct{}
 }
 
 // New returns an empty table.
 func New(opts Options) *Table {
-	t := &Table{opts: opts, peers: map[string]*peer{}, announce: make(chan struct{}, 1), announceLoad: make(chan struct{}, 1)}
+	t := &Table{opts: opts, peers: map[string]*peer{}, announce: make(chan struct{}, 1), announceLoad: make(chan struct{}, 1), announceUrgent: make(chan struct{}, 1)}
+	t.detector, t.suspicionsArrived = suspicion.New(opts.Name, opts.Now), make(chan struct{}, 1)
+	t.watching.Store(&watching{})
 	t.busy.Store(&[]target{})
 	t.order.Store(&[]string{})
 	t.byRank.Store(&[]string{opts.Name})
@@ -134,28 +118,6 @@
 	return t
 }
 
-// Announce triggers a round of datagrams ahead of schedule, to propagate a
-// change. It does not block.
-func (t *Table) Announce() {
-	select {
-	case t.announce <- struct{}{}:
-	default:
-	}
-}
-
-// AnnounceLoad propagates soon that a backend server was just sent a prompt. In a
-// large fleet only the busy instances receive it. It does not block.
-func (t *Table) AnnounceLoad() {
-	if !t.Large() {
-		t.Announce()
-		return
-	}
-	select {
-	case t.announceLoad <- struct{}{}:
-	default:
-	}
-}
-
 // Add adds an instance that was found in a record. It is not listed as running
 // before a datagram or a leader's roster shows that it is.
 func (t *Table) Add(instance Instance) {
@@ -173,63 +135,6 @@
 	t.size.Store(int64(len(t.peers)))
 }
 
-// handle processes a received datagram. It reports whether it is the first one of its
-// sender's run.
-func (t *Table) handle(d *datagram) bool {
-	name := d.Instance.Name
-	if name == "" || name == t.opts.Name {
-		return false
-	}
-	t.opts.OnPayload(&d.Instance, &d.Payload, d.Echo.Echoed)
-	if at, ok := d.provenAt(); ok {
-		t.opts.OnProof(d.Proof, at)
-	}
-	first, reorder := t.update(d)
-	if reorder {
-		t.updateOrder()
-	}
-	return first
-}
-
-// update stores the state of the sender. It reports whether the datagram is the first
-// one of its sender's run, and whether the order of the leaders must be updated.
-func (t *Table) update(d *datagram) (first, reorder bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old := t.peers[d.Instance.Name]
-	now := &peer{instance: d.Instance, receivedAt: t.opts.Now(), echo: d.Echo.Sent}
-	t.set(d.Instance.Name, now)
-	if d.Roster != nil {
-		now.roster = t.applyDelta(old, d.Roster)
-	} else if old != nil {
-		now.roster = old.roster
-	}
-	if old == nil {
-		return true, true
-	}
-	first = old.receivedAt.IsZero() || old.instance.Run != d.Instance.Run
-	reorder = old.instance.StoreLost != d.Instance.StoreLost || old.instance.StoreReached != d.Instance.StoreReached || old.instance.Ready != d.Instance.Ready ||
-		old.instance.Leaving != d.Instance.Leaving
-	return first, reorder
-}
-
-// Answered reports whether a datagram of an instance that is ready has arrived, or of
-// each known instance.
-func (t *Table) Answered() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	silent := 0
-	for _, p := range t.peers {
-		switch {
-		case p.receivedAt.IsZero():
-			silent++
-		case p.instance.Ready:
-			return true
-		}
-	}
-	return silent == 0
-}
-
 // Large reports whether the fleet is so large that only pairs that include a
 // leader exchange datagrams.
 func (t *Table) Large() bool { return t.size.Load() > smallFleet }
@@ -237,57 +142,12 @@
 // Known returns the number of instances ever discovered, including this one.
 func (t *Table) Known() int { return int(t.size.Load()) + 1 }
 
-// Rank returns the rank of this instance, from 0, for a key among all instances
-// ever discovered. It uses rendezvous hashing (Thaler and Ravishankar, 1998), so
-// that all instances compute the same order.
-func (t *Table) Rank(key string) int {
-	own := xxhash.Sum64String(key + "/" + t.opts.Name)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	rank := 0
-	for name := range t.peers {
-		if xxhash.Sum64String(key+"/"+name) > own {
-			rank++
-		}
+// Senders returns the number of instances that send requests at present, counting
+// this one. In a small fleet and while no
+// other instance of a large one is busy, it is that of all known instances.
+func (t *Table) Senders() int {
+	if others := t.otherSenders.Load(); t.Large() && others > 0 {
+		return int(others) + 1
 	}
-	return rank
-}
-
-// Running returns the running instances, including this one, sorted by name.
-func (t *Table) Running() []Instance {
-	self := t.opts.Self()
-	now := t.opts.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	reported := t.reported(now)
-	running := []Instance{self}
-	for name, p := range t.peers {
-		switch {
-		case t.alive(p, now):
-			running = append(running, p.instance)
-		case !p.unresponsive(now):
-			if instance, ok := reported[name]; ok {
-				running = append(running, *instance)
-			}
-		}
-	}
-	slices.SortFunc(running, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
-	return running
-}
-
-// alive reports whether a datagram of the peer itself has arrived within the
-// timeout and the peer is not unresponsive.
-func (t *Table) alive(p *peer, now time.Time) bool {
-	limit := silenceTimeout
-	if t.Large() {
-		limit = pollTimeout
-	}
-	return !p.receivedAt.IsZero() && now.Sub(p.receivedAt) < limit && !p.unresponsive(now)
-}
-
-// unresponsive reports whether a peer has left requests unanswered for so long
-// that it is considered failed.
-func (p *peer) unresponsive(now time.Time) bool {
-	silentFor := now.Sub(p.requestedAt)
-	return p.pending >= minUnanswered && silentFor >= replyTimeout && silentFor < suspicionTime
+	return t.Known()
 }
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -252,3 +253,28 @@
 		n.table.Announce()
 	})
 }
+
+// TestSendersAreTheBusyInstancesOfALargeFleet guards against taking all instances of a large
+// fleet for senders, and against a wrong number where busy instances are unknown.
+func TestSendersAreTheBusyInstancesOfALargeFleet(t *testing.T) {
+	table := peers.New(peers.Options{Name: "self"})
+	running := []peers.Instance{{Name: "self", Busy: true}}
+	for i := range 40 {
+		running = append(running, peers.Instance{Name: fmt.Sprint(i), Busy: i < 30})
+	}
+	for i := range 5 {
+		table.Add(running[1+i])
+	}
+	peers.UpdateBusy(table, running[:6])
+	must.Eq(t, 6, table.Senders())
+	for i := range running {
+		table.Add(running[i])
+	}
+	peers.UpdateBusy(table, running[:9])
+	must.Eq(t, 9, table.Senders())
+	running[0].Busy = false
+	peers.UpdateBusy(table, running)
+	must.Eq(t, 31, table.Senders(), must.Sprint("more than the receivers of load announcements"))
+	peers.UpdateBusy(table, running[31:])
+	must.Eq(t, 41, table.Senders(), must.Sprint("all known instances while none is busy"))
+}
--- a/internal/coordination/peers/restore_test.go
+++ b/internal/coordination/peers/restore_test.go
@@ -335,14 +335,18 @@
 func (m *member) describe(payload *peers.Payload) {
 	position, revision := m.follower.AppliedRevision()
 	payload.Applied, payload.Era, payload.Revision = map[string]int64{"configurations": position.Offset}, position.Era, revision
+	if era, at, recent := m.follower.Restored(); recent {
+		payload.Restored = &peers.Restore{Era: era, Age: virtualClock().Since(at)}
+	}
 }
 
 func (m *member) proof() *peers.Proof {
+	era, _, recent := m.follower.Restored()
 	own := m.follower.OwnProof()
 	if own == nil {
 		return nil
 	}
-	return &peers.Proof{End: own.Position.Offset, Era: own.Position.Era, Age: virtualClock().Since(own.At)}
+	return &peers.Proof{End: own.Position.Offset, Era: own.Position.Era, Age: virtualClock().Since(own.At), Settled: recent && era == own.Position.Era}
 }
 
 // peerAnswerTime is how long a member that starts waits for its peers.
--- a/internal/coordination/peers/roster.go
+++ b/internal/coordination/peers/roster.go
@@ -132,6 +132,9 @@
 		r.running[name] = &entry.Instance
 		if known := t.peers[name]; known != nil {
 			known.instance.Leaving, known.instance.CutOff = entry.Instance.Leaving, entry.Instance.CutOff
+			// The record of a former run may state another weight. All instances must compute
+			// the same order by weight.
+			known.instance.Weight, known.instance.RanksByWeight = entry.Instance.Weight, entry.Instance.RanksByWeight
 		} else if name != t.opts.Name {
 			t.set(name, &peer{instance: entry.Instance})
 		}
--- a/internal/coordination/peers/scale_test.go
+++ b/internal/coordination/peers/scale_test.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,8 +19,12 @@
 	"medlarslip/internal/coordination/fleetlimit"
 	"medlarslip/internal/coordination/keyedlog"
 	"medlarslip/internal/coordination/peers"
+	"medlarslip/internal/coordination/staging"
+	"medlarslip/internal/coordination/workload"
 )
 
+var networkSeed = flag.Uint64("network.seed", 1, "seed of the lost datagrams in simulated fleets")
+
 const (
 	// delay is the transit time of a datagram, and lossShare the share of datagrams
 	// that are lost.
@@ -36,112 +39,6 @@
 	maxControlBytes = 19_000
 )
 
-// network is a network of instances in virtual time.
-type network struct {
-	mu     sync.Mutex
-	random *rand.Rand
-	conns  map[string]*fakeConn
-	// partition maps each address to its side of a network partition.
-	partition map[string]int
-	// cut reports whether datagrams between two addresses are lost; nil means none.
-	cut func(from, to string) bool
-	// frozen holds the addresses of suspended instances, with the channel that is
-	// closed when they continue.
-	frozen map[string]chan struct{}
-}
-
-type fakeConn struct {
-	net.PacketConn
-	network *network
-	address *net.UDPAddr
-	inbox   chan []byte
-	closed  chan struct{}
-	// bytes and datagrams count the traffic in both directions.
-	bytes, datagrams int
-}
-
-func (n *network) listen(address string) *fakeConn {
-	resolved, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		panic(err)
-	}
-	c := &fakeConn{network: n, address: resolved, inbox: make(chan []byte, 4096), closed: make(chan struct{})}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.conns[address] = c
-	return c
-}
-
-// awaitResumed returns when the instance at an address is not suspended.
-func (n *network) awaitResumed(address string) {
-	n.mu.Lock()
-	resumed := n.frozen[address]
-	n.mu.Unlock()
-	if resumed != nil {
-		<-resumed
-	}
-}
-
-// suspend suspends an instance for a time: it receives later what is sent to it
-// meanwhile, and sends nothing.
-func (n *network) suspend(address string, lasts time.Duration) {
-	resumed := make(chan struct{})
-	n.mu.Lock()
-	n.frozen[address] = resumed
-	n.mu.Unlock()
-	time.Sleep(lasts)
-	n.mu.Lock()
-	delete(n.frozen, address)
-	n.mu.Unlock()
-	close(resumed)
-}
-
-// ReadFrom implements net.PacketConn.
-func (c *fakeConn) ReadFrom(b []byte) (int, net.Addr, error) {
-	select {
-	case content := <-c.inbox:
-		c.network.awaitResumed(c.address.String())
-		return copy(b, content), c.address, nil
-	case <-c.closed:
-		return 0, nil, net.ErrClosed
-	}
-}
-
-// WriteTo implements net.PacketConn.
-func (c *fakeConn) WriteTo(b []byte, to net.Addr) (int, error) {
-	n := c.network
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c.bytes, c.datagrams = c.bytes+len(b), c.datagrams+1
-	receiver := n.conns[to.String()]
-	if n.frozen[c.address.String()] != nil || (n.cut != nil && n.cut(c.address.String(), to.String())) {
-		return len(b), nil
-	}
-	if receiver == nil || n.partition[c.address.String()] != n.partition[to.String()] || n.random.Float64() < lossShare {
-		return len(b), nil
-	}
-	receiver.bytes, receiver.datagrams = receiver.bytes+len(b), receiver.datagrams+1
-	content := slices.Clone(b)
-	time.AfterFunc(delay, func() {
-		select {
-		case receiver.inbox <- content:
-		default:
-		}
-	})
-	return len(b), nil
-}
-
-// Close implements net.PacketConn.
-func (c *fakeConn) Close() error {
-	c.network.mu.Lock()
-	defer c.network.mu.Unlock()
-	if c.network.conns[c.address.String()] == c {
-		delete(c.network.conns, c.address.String())
-		close(c.closed)
-	}
-	return nil
-}
-
 // member is an instance of a simulated fleet.
 type member struct {
 	self  peers.Instance
@@ -157,6 +54,18 @@
 	startedAt time.Time
 	// suspended is true while the member is suspended and shortly after.
 	suspended atomic.Bool
+	// staging tracks the sessions of the member, if it has some, and uses holds those that
+	// peers have told it of.
+	staging atomic.Pointer[staging.Controller]
+	uses    sync.Map
+	// learnedFrom holds the names of the peers that sent what they learned.
+	learnedFrom sync.Map
+	// exchange is that of what the member learns; nil for none. byCost is true if it chooses
+	// servers by expected cost on its own account.
+	exchange *workload.Exchange
+	byCost   atomic.Bool
+	// suspicions records the starts and ends of suspicions.
+	suspicions suspicionLog
 }
 
 // describeSelf returns the description of the member for its peers.
@@ -178,6 +87,16 @@
 	members []*member
 	// loads are the functions that stop the loads on the fleet.
 	loads []func()
+	// sessions returns the session report of a member; nil for none.
+	sessions atomic.Pointer[func(m *member) *staging.SessionReport]
+	// listed returns the names of the instances that directories list; nil if these list all.
+	listed func(running []peers.Instance) []string
+	// watches is true if the listed instances watch each other.
+	watches atomic.Bool
+	// exchanges is true if the members exchange what they learn, and watch each other where they do.
+	exchanges bool
+	// learned returns what a member tells a receiver of what it learned; nil for nothing.
+	learned atomic.Pointer[func(receiver string, leads bool) *workload.Report]
 	// store is the store that members follow; nil for none. following holds those
 	// that do.
 	store     *configurations
@@ -211,7 +130,7 @@
 
 // newFleet returns a fleet whose instances are not running.
 func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, network: &network{random: rand.New(rand.NewPCG(1, uint64(size))), conns: map[string]*fakeConn{}, partition: map[string]int{}, frozen: map[string]chan struct{}{}}}
+	f := &fleet{t: t, network: &network{seed: *networkSeed, sent: map[[2]string]uint64{}, conns: map[string]*fakeConn{}, partition: map[string]int{}, suspended: map[string]chan struct{}{}}}
 	for i := range size {
 		address := fmt.Sprintf("10.%d.%d.%d:7340", i%domains, i/200, i%200+1)
 		m := &member{self: peers.Instance{
@@ -252,6 +171,9 @@
 			if m.follower != nil {
 				m.describe(&payload)
 			}
+			if sessions := f.sessions.Load(); sessions != nil {
+				payload.Sessions = (*sessions)(m)
+			}
 			return payload
 		},
 		Prefill: func() map[string]int64 { return nil },
@@ -263,6 +185,17 @@
 		},
 		OnPayload: func(peer *peers.Instance, payload *peers.Payload, sentAfter boottime.Instant) {
 			m.limiter.Merge(payload.Limits, sentAfter)
+			if c := m.staging.Load(); c != nil && payload.Sessions != nil {
+				c.MergeSessionReport(payload.Sessions)
+				m.noteUses(payload.Sessions)
+			}
+			if payload.Learned != nil && sentAfter != 0 {
+				m.mergeLearned(peer.Name, payload.Learned, sentAfter)
+				m.learnedFrom.Store(peer.Name, payload.Learned.Fleet)
+			}
+			if at, valid := payload.Restored.ObservedAt(virtualClock()); valid && m.follower != nil {
+				m.follower.ObserveRestored(payload.Restored.Era, at)
+			}
 			if offset, applied := payload.Applied["configurations"]; applied && m.follower != nil {
 				m.follower.ObservePeer(keyedlog.Position{Era: payload.Era, Offset: offset}, payload.Revision, peer.PeerAddress)
 			}
@@ -270,11 +203,32 @@
 		OnProof: func(proof *peers.Proof, at boottime.Instant) {
 			if m.follower != nil {
 				m.follower.ObserveReached(at)
-				m.follower.AdoptProof(keyedlog.Proof{Position: keyedlog.Position{Era: proof.Era, Offset: proof.End}, At: at})
+				adopt := m.follower.AdoptProof
+				if proof.Settled {
+					adopt = m.follower.AdoptSettledProof
+				}
+				adopt(keyedlog.Proof{Position: keyedlog.Position{Era: proof.Era, Offset: proof.End}, At: at})
 			}
 		},
+		Listed: f.listed, Watches: func() bool { return f.watches.Load() || m.exchangesLearned() }, OnSuspicion: m.suspicions.add,
 		OnPermit: m.limiter.Handle,
+		Relayed: func(after uint64) ([]staging.SessionUses, uint64) {
+			if c := m.staging.Load(); c != nil {
+				return c.RelayedAfter(after)
+			}
+			// Queues that are full of uses that no peer has received.
+			return (*f.sessions.Load())(m).Relayed, 0
+		},
+		Learned: func(receiver string, leads bool) *workload.Report {
+			if learned := f.learned.Load(); learned != nil {
+				return (*learned)(receiver, leads)
+			}
+			return m.learnedFor(receiver, leads)
+		},
 	})
+	if f.exchanges {
+		m.startExchange()
+	}
 	if f.store != nil {
 		f.follow(m, f.store)
 	}
@@ -404,6 +358,35 @@
 	}
 }
 
+// fullQueues returns a controller whose queues of uses are full at all times.
+func fullQueues() *staging.Controller {
+	at := time.Now()
+	c := staging.New(func() float64 { return 0.5 }, func() time.Time { return at })
+	c.SetTimes(func() time.Duration { return 8500 * time.Millisecond }, func() time.Duration { return 0 })
+	relayed := make([]staging.ActiveSession, 1000)
+	for session := range uint64(1000) {
+		c.Stage("summaries", session)
+		relayed[session] = staging.ActiveSession{Service: "summaries", Session: 1<<32 + session}
+	}
+	c.MergeSessions(relayed, nil)
+	return c
+}
+
+// TestSessionReportsFitTheBudget guards against session reports that take more than the control
+// plane of a member may take: all instances send full queues in each datagram.
+func TestSessionReportsFitTheBudget(t *testing.T) {
+	for _, size := range []int{30, 100, 300} {
+		t.Run(fmt.Sprint(size), inFleet(size, func(f *fleet) {
+			c := fullQueues()
+			sessions := func(m *member) *staging.SessionReport { return c.Sessions(m.table.LeaderPosition() < peers.Leaders) }
+			f.sessions.Store(&sessions)
+			median, busiest := f.traffic()
+			t.Logf("%d instances: median %d B/s, maximum %d B/s", size, median, busiest)
+			must.LessEq(f.t, maxControlBytes, median)
+		}))
+	}
+}
+
 // TestInstancesThatStartInSequenceMeet: each instance reads the records of those that
 // started before it. It guards against a fleet of which the first instances know too
 // few others to poll the leaders, and the last ones poll only the leaders.
--- a/internal/coordination/peers/targets.go
+++ b/internal/coordination/peers/targets.go
@@ -31,6 +31,19 @@
 	return targets
 }
 
+// urgentTargets returns the peers that are sent the urgent payload: all in a small fleet, in a
+// larger one all live peers of a leader, and the leaders of the others.
+func (t *Table) urgentTargets() []target {
+	leaders := t.leaders()
+	all := !t.Large() || slices.Contains(leaders, t.opts.Name)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	return t.targetsWhere(func(p *peer) bool {
+		return (all && (!t.Large() || t.alive(p, now))) || slices.Contains(leaders, p.instance.Name)
+	})
+}
+
 // awaitsReply reports whether a request to a leader is unanswered, or a leader has
 // never sent a datagram.
 func (t *Table) awaitsReply(leaders []string) bool {
@@ -48,7 +61,7 @@
 	targets := make([]target, 0, len(t.peers))
 	for _, p := range t.peers {
 		if match(p) {
-			targets = append(targets, target{address: p.instance.PeerAddress, echo: p.echo})
+			targets = append(targets, target{name: p.instance.Name, address: p.instance.PeerAddress, echo: p.echo})
 		}
 	}
 	return targets
@@ -61,7 +74,7 @@
 		p.requestedAt, p.pending = now, 0
 	}
 	p.pending++
-	to := target{address: p.instance.PeerAddress, echo: p.echo, wantsReply: true}
+	to := target{name: p.instance.Name, address: p.instance.PeerAddress, echo: p.echo, wantsReply: true}
 	if p.roster != nil {
 		to.have = p.roster.version
 	}
--- a/internal/coordination/quarantine/key.go
+++ b/internal/coordination/quarantine/key.go
@@ -14,7 +14,7 @@
 
 // RequestOf returns the key of a request. It is the same for all requests of a client
 // account with the same method, host, target and body.
-func RequestOf(account, method, host, target string, body []byte) Key {
+func RequestOf(account, method, host, target string, body ...[]byte) Key {
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, text := range []string{account, method, host, target} {
@@ -22,7 +22,9 @@
 		_, _ = digest.WriteString(text)
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(body)
+	for _, part := range body {
+		_, _ = digest.Write(part)
+	}
 	return Key(digest.Sum64())
 }
 
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -63,6 +63,8 @@
 	ends map[uint32]boottime.Instant
 	// endsCopy is a copy of ends that is read without the lock. It is replaced as a whole.
 	endsCopy atomic.Pointer[map[uint32]boottime.Instant]
+	// storedKnown is the result of StoredKnown.
+	storedKnown atomic.Bool
 	// dropped holds the attempts that were given up recently, in order.
 	dropped []droppedAttempt
 }
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -39,6 +39,9 @@
 	Requests *Report `cbor:"4,keyasint,omitempty"`
 	// Servers lists the servers that have ended recently.
 	Servers []ServerReport `cbor:"5,keyasint,omitempty"`
+	// None is true if the sender knows the stored quarantines and nothing is under
+	// quarantine. It is false in reports of the previous build.
+	None bool `cbor:"6,keyasint,omitempty"`
 }
 
 // SuspectReport is the evidence about a key.
@@ -87,6 +90,20 @@
 	return report
 }
 
+// AddNone returns a report with None set if that is known, or else the report as it is.
+func (d *Detector) AddNone(report *Report) *Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.storedKnown.Load() || len(d.parts.blocked) > 0 || len(d.requests.blocked) > 0 {
+		return report
+	}
+	if report == nil {
+		report = &Report{}
+	}
+	report.None = true
+	return report
+}
+
 // serverReports returns the servers that have ended recently, the latest first.
 func (d *Detector) serverReports(now boottime.Instant) []ServerReport {
 	var reports []ServerReport
@@ -157,6 +174,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if report.None {
+		d.storedKnown.Store(true)
+	}
 	now := d.opts.Now()
 	for _, server := range report.Servers {
 		if age := max(server.Age, 0); age < evidenceTime {
--- a/internal/coordination/quarantine/store.go
+++ b/internal/coordination/quarantine/store.go
@@ -18,6 +18,13 @@
 	}
 }
 
+// Loaded records that the stored keys of all kinds were loaded.
+func (d *Detector) Loaded() { d.storedKnown.Store(true) }
+
+// StoredKnown reports whether the stored quarantines were loaded, or a peer has said that
+// there are none.
+func (d *Detector) StoredKnown() bool { return d.storedKnown.Load() }
+
 // Unstored returns the keys of a kind whose quarantine is not stored yet, and those that
 // are no longer under quarantine and may still be stored.
 func (d *Detector) Unstored(kind Kind) (blocked, lifted []Key) {
--- a/internal/coordination/reachability/reachability.go
+++ b/internal/coordination/reachability/reachability.go
@@ -68,11 +68,18 @@
 	// failed holds when servers last failed, since one last accepted a connection.
 	failed      map[string]time.Time
 	connectedAt time.Time
+	// attemptedAt is when the latest attempt to connect began that a server accepted, and
+	// acceptedBy the address of that server.
+	attemptedAt time.Time
+	acceptedBy  string
+	// accepted is closed when a server next accepts a connection, if awaited is true.
+	accepted chan struct{}
+	awaited  bool
 }
 
 // New returns a Monitor of an instance that is not cut off.
 func New(opts Options) *Monitor {
-	return &Monitor{opts: opts, wake: make(chan struct{}, 1), start: time.Now(), failed: map[string]time.Time{}}
+	return &Monitor{opts: opts, wake: make(chan struct{}, 1), start: time.Now(), failed: map[string]time.Time{}, accepted: make(chan struct{})}
 }
 
 // CutOff reports whether this instance reaches no server.
@@ -81,11 +88,19 @@
 // Received records that a server has sent something.
 func (m *Monitor) Received() { m.receivedAt.Store(int64(time.Since(m.start))) }
 
-// Connected records that a server has accepted a new connection.
-func (m *Monitor) Connected() {
+// Connected records that the server at an address has accepted a new connection, which was
+// attempted from began on.
+func (m *Monitor) Connected(address string, began time.Time) {
 	m.mu.Lock()
 	clear(m.failed)
 	m.connectedAt = time.Now()
+	if began.After(m.attemptedAt) {
+		m.attemptedAt, m.acceptedBy = began, address
+	}
+	if m.awaited {
+		close(m.accepted)
+		m.accepted, m.awaited = make(chan struct{}), false
+	}
 	m.mu.Unlock()
 	if m.cutOff.CompareAndSwap(true, false) {
 		m.opts.Log.WithField("event", "servers_reached").Warn("a backend server accepts connections again; taking clients")
@@ -95,12 +110,17 @@
 
 // AcceptsOther reports whether a server other than the one at an address accepts a new
 // connection now. It waits for probeTimeout at most.
-func (m *Monitor) AcceptsOther(address string) bool {
+func (m *Monitor) AcceptsOther(ctx context.Context, address string) bool {
 	servers := slices.DeleteFunc(m.opts.Servers(), func(s Server) bool { return s.Address == address })
-	return m.anyAccepts(context.Background(), servers, confirmProbes)
+	began := time.Now()
+	other, accepted := m.anyAccepts(ctx, servers, confirmProbes)
+	if accepted {
+		m.Connected(other, began)
+	}
+	return accepted
 }
 
-// awaitInterval is the interval at which Await looks for contact.
+// awaitInterval is the interval at which Await and AwaitAccept look for contact.
 const awaitInterval = 20 * time.Millisecond
 
 // Await waits until a server has sent something or accepted a connection since the call. It
@@ -117,6 +137,37 @@
 	return true
 }
 
+// AwaitAccept waits until a server other than the one at an address has accepted a connection
+// that was attempted from a moment on, and returns when the attempt began: at once, since the
+// server may soon be gone. It returns zero if done returns true before, if ctx ends, or from
+// next on if a server has sent something since that moment.
+func (m *Monitor) AwaitAccept(ctx context.Context, address string, since, next time.Time, done func() bool) time.Time {
+	for {
+		by, attempted, accepted := m.latestAccept()
+		switch {
+		case by != address && !attempted.Before(since):
+			return attempted
+		case done() || (!time.Now().Before(next) && m.contactSince(since)):
+			return time.Time{}
+		}
+		select {
+		case <-ctx.Done():
+			return time.Time{}
+		case <-accepted:
+		case <-time.After(awaitInterval):
+		}
+	}
+}
+
+// latestAccept returns the address of the server that accepted the latest attempt, when the
+// attempt began, and a channel that is closed with the next one.
+func (m *Monitor) latestAccept() (address string, attempted time.Time, next <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.awaited = true
+	return m.acceptedBy, m.attemptedAt, m.accepted
+}
+
 func (m *Monitor) contactSince(began time.Time) bool {
 	return m.connectedSince(began) || time.Duration(m.receivedAt.Load()) > began.Sub(m.start)
 }
@@ -152,6 +203,8 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	var probedAt time.Time
+	// known holds the addresses that were listed at the latest check in a cut; nil outside.
+	var known map[string]bool
 	for {
 		select {
 		case <-ctx.Done():
@@ -159,6 +212,12 @@
 		case <-m.wake:
 		case <-ticker.C:
 		}
+		if !m.CutOff() {
+			known = nil
+		} else if added := m.addedServers(&known); len(added) > 0 {
+			m.probe(ctx, added, regainProbes)
+			continue
+		}
 		failed, silent := m.signs()
 		if time.Since(probedAt) < probeInterval || (!m.CutOff() && failed == 0 && !silent) {
 			continue
@@ -176,6 +235,22 @@
 	}
 }
 
+// addedServers returns the servers that were added to the list since the previous check in
+// the same cut. Where all servers have ended, those that replace them show at once that they
+// are reached, also if they end soon under the same requests.
+func (m *Monitor) addedServers(known *map[string]bool) []Server {
+	former, servers := *known, m.opts.Servers()
+	*known = make(map[string]bool, len(servers))
+	var added []Server
+	for _, server := range servers {
+		(*known)[server.Address] = true
+		if former != nil && !former[server.Address] {
+			added = append(added, server)
+		}
+	}
+	return added
+}
+
 // signs returns the number of servers that have failed recently, and whether none has sent
 // anything or accepted a connection.
 func (m *Monitor) signs() (failed int, silent bool) {
@@ -211,8 +286,8 @@
 		return
 	}
 	began := time.Now()
-	if m.anyAccepts(ctx, servers, count) {
-		m.Connected()
+	if address, accepted := m.anyAccepts(ctx, servers, count); accepted {
+		m.Connected(address, began)
 		return
 	}
 	if m.connectedSince(began) {
@@ -224,20 +299,25 @@
 	}
 }
 
-// anyAccepts reports whether any of a number of servers at random accepts a connection.
-func (m *Monitor) anyAccepts(ctx context.Context, servers []Server, count int) bool {
+// anyAccepts reports whether any of a number of servers at random accepts a connection, and
+// the address of the first that does.
+func (m *Monitor) anyAccepts(ctx context.Context, servers []Server, count int) (address string, accepted bool) {
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	servers = servers[:min(len(servers), count)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	results := make(chan bool, len(servers))
+	type result struct {
+		address  string
+		accepted bool
+	}
+	results := make(chan result, len(servers))
 	for _, server := range servers {
-		go func() { results <- m.opts.Accepts(ctx, server.Address) }()
+		go func() { results <- result{server.Address, m.opts.Accepts(ctx, server.Address)} }()
 	}
 	for range servers {
-		if <-results {
-			return true
+		if r := <-results; r.accepted {
+			return r.address, true
 		}
 	}
-	return false
+	return "", false
 }
--- a/internal/coordination/reachability/reachability_test.go
+++ b/internal/coordination/reachability/reachability_test.go
@@ -28,10 +28,15 @@
 	silent     atomic.Bool
 	inProgress atomic.Int64
 	count      int
-	probes     atomic.Int64
-	changes    atomic.Int64
+	// added is the number of servers that were added after the others and accept connections.
+	added   atomic.Int64
+	probes  atomic.Int64
+	changes atomic.Int64
 }
 
+// addedAddress is the address of the first server that is added.
+const addedAddress = 1000
+
 func newServers(count int) *servers {
 	s := &servers{count: count}
 	s.up.Store(int64(count))
@@ -48,6 +53,9 @@
 	for n := range s.count {
 		list = append(list, reachability.Server{Address: fmt.Sprint(n), InProgress: int(s.inProgress.Load())})
 	}
+	for n := range s.added.Load() {
+		list = append(list, reachability.Server{Address: fmt.Sprint(addedAddress + n)})
+	}
 	return list
 }
 
@@ -60,8 +68,8 @@
 func (s *servers) connect(ctx context.Context, address string) bool {
 	var number int64
 	_, err := fmt.Sscan(address, &number)
-	if err == nil && number < s.up.Load() {
-		s.monitor.Connected()
+	if err == nil && (number < s.up.Load() || number >= addedAddress) {
+		s.monitor.Connected(address, time.Now())
 		return true
 	}
 	if s.silent.Load() {
@@ -120,6 +128,38 @@
 	}
 }
 
+// TestAddedServersEndACutAtOnce guards against an instance that takes itself for cut off
+// where all servers have ended and others replace them. It cannot confirm the ends until it
+// reaches a server, and the new ones may end soon under the same requests.
+func TestAddedServersEndACutAtOnce(t *testing.T) {
+	play(t, "replaced servers", 12, func(t *testing.T, s *servers) {
+		time.Sleep(time.Second)
+		s.up.Store(0)
+		for n := range s.count {
+			s.connect(t.Context(), fmt.Sprint(n))
+		}
+		time.Sleep(detectionTime)
+		for range 10 {
+			must.True(t, s.monitor.CutOff())
+			// The servers are added just after a round of probes.
+			for before := s.probes.Load(); s.probes.Load() == before; {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Millisecond)
+			before := s.probes.Load()
+			s.added.Store(12)
+			time.Sleep(250 * time.Millisecond)
+			must.False(t, s.monitor.CutOff())
+			must.LessEq(t, 2, s.probes.Load()-before)
+			s.added.Store(0)
+			for n := range s.count {
+				s.connect(t.Context(), fmt.Sprint(n))
+			}
+			time.Sleep(detectionTime)
+		}
+	})
+}
+
 // TestServersThatAreDownAreNoCut guards against leaving the directory where servers end,
 // all requests are silent for a second, or there are no servers, while any server accepts
 // connections.
@@ -149,3 +189,17 @@
 		must.False(t, s.monitor.CutOff())
 	})
 }
+
+// TestAcceptOfTheSameServerIsNotAwaited guards against a connection that a server accepted
+// counting as a sign that others are reached, so that its refusals count as its end.
+func TestAcceptOfTheSameServerIsNotAwaited(t *testing.T) {
+	play(t, "other server", 2, func(t *testing.T, s *servers) {
+		time.Sleep(time.Second)
+		began := time.Now()
+		for n, after := range []time.Duration{time.Second, 2 * time.Second} {
+			time.AfterFunc(after, func() { s.connect(t.Context(), fmt.Sprint(n)) })
+		}
+		attempted := s.monitor.AwaitAccept(t.Context(), "0", began, began.Add(time.Minute), func() bool { return false })
+		must.Eq(t, 2*time.Second, attempted.Sub(began))
+	})
+}
--- a/internal/coordination/retrybudget/retrybudget_test.go
+++ b/internal/coordination/retrybudget/retrybudget_test.go
@@ -69,3 +69,53 @@
 	}
 	must.Between(t, 100, retries, 125)
 }
+
+// TestEarlierWindowsStayWithinTheWholeBudget: while the load falls, a part of the budget grows
+// by the first requests of earlier windows, but never above the whole budget of the present
+// one. Without that, runs that are due after a peak are refused.
+func TestEarlierWindowsStayWithinTheWholeBudget(t *testing.T) {
+	const part = 0.9
+	run := func(countEarlier bool) (repeats int) {
+		opts := &retrybudget.Options{Window: 10 * time.Second, Ratio: 0.9, CountEarlier: countEarlier}
+		var b retrybudget.Budget
+		now := time.Unix(1000, 0)
+		for range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			b.CountFirst(now, opts)
+		}
+		for range 500 {
+			now = now.Add(20 * time.Millisecond)
+			b.CountFirst(now, opts)
+		}
+		for b.Take(now, opts, part, 1) {
+			repeats++
+		}
+		return repeats
+	}
+	// The last window has 475 to 500 first requests, as the current bucket is partly over.
+	must.Between(t, 0.9*0.9*475, float64(run(false)), 0.9*0.9*500)
+	must.Between(t, 0.9*475, float64(run(true)), 0.9*500)
+}
+
+// TestSteadyLoadMayUseTheBudget guards against a budget of which a part can't be used since the
+// window is counted too coarsely: an instance of a large fleet receives few requests.
+func TestSteadyLoadMayUseTheBudget(t *testing.T) {
+	const (
+		seconds = 120
+		// mostUnused is the share of the budget that may be left unused.
+		mostUnused = 0.02
+	)
+	opts := &retrybudget.Options{Window: 10 * time.Second, Ratio: 0.9}
+	for _, perSecond := range []int{7, 50, 400} {
+		var b retrybudget.Budget
+		now, repeats := time.Unix(1000, 0), 0
+		for range seconds * perSecond {
+			now = now.Add(time.Second / time.Duration(perSecond))
+			b.CountFirst(now, opts)
+			if b.Take(now, opts, 1, 1) {
+				repeats++
+			}
+		}
+		must.GreaterEq(t, (1-mostUnused)*opts.Ratio*float64(seconds*perSecond), float64(repeats), must.Sprint(perSecond))
+	}
+}
--- a/internal/coordination/rollout/counts.go
+++ b/internal/coordination/rollout/counts.go
@@ -67,8 +67,18 @@
 	// AgeMS is the time in milliseconds for which the rollout has been known; 0
 	// where it is not sent.
 	AgeMS int64 `json:"age_ms,omitempty"`
+	// WithinMS is the time in milliseconds from the order of AgeMS to its deadline; 0
+	// where it is not sent.
+	WithinMS int64 `json:"within_ms,omitempty"`
+	// Servers is the largest number of servers of the new version that accepted requests, or
+	// UnknownServers. 0 is sent if an instance of the previous build, which sends no number,
+	// has the order.
+	Servers int `json:"servers,omitempty"`
 }
 
+// UnknownServers is the number of servers that an instance sends as long as it does not know it.
+const UnknownServers = -1
+
 // Halt is the automatic end of a rollout. It applies permanently to this version
 // under this rollout ID: a newer document lifts it by marking the rollout done
 // or by starting another one under a new ID.
--- a/internal/coordination/rollout/detector.go
+++ b/internal/coordination/rollout/detector.go
@@ -17,7 +17,9 @@
 // concurrent use.
 type Detector struct {
 	windowStarts []cumulativeCounts
-	history      countHistory
+	// loadStart holds the counts at the call of StartLoad; nil before.
+	loadStart *cumulativeCounts
+	history   countHistory
 }
 
 // cumulativeCounts holds the counts of both versions up to a point in time.
--- a/internal/coordination/rollout/sustained.go
+++ b/internal/coordination/rollout/sustained.go
@@ -20,6 +20,9 @@
 	// tested.
 	historyInterval = 250 * time.Millisecond
 	maxHistory      = 120
+	// clusterSlice is the length of the parts of the history whose bad answers are
+	// compared with each other: longer than most clusters.
+	clusterSlice = 2 * time.Second
 )
 
 // countHistory holds recent cumulative counts, the earliest first.
@@ -79,3 +82,41 @@
 	}
 	return h.states[len(h.states)-1]
 }
+
+// clusterSize returns how many bad answers of the old version come together, at least 1: the
+// variance of their number in equal parts of the history, as a multiple of that of independent
+// answers. of returns the bad answers and all answers of a measure. States from before a decrease of
+// the counts are not compared with those after it.
+func (h *countHistory) clusterSize(of func(c *Counts) (bad, total uint64)) float64 {
+	states := h.states
+	for i := len(states) - 1; i > 0; i-- {
+		if !isLater(states[i].oldArm, states[i-1].oldArm) {
+			states = states[i:]
+			break
+		}
+	}
+	start := states[0]
+	whole := states[len(states)-1].oldArm.Since(start.oldArm)
+	bad, total := of(&whole)
+	if bad == 0 || bad >= total {
+		return 1
+	}
+	share := float64(bad) / float64(total)
+	sum, slices := 0.0, 0
+	for i := range states {
+		if states[i].at.Sub(start.at) < clusterSlice {
+			continue
+		}
+		slice := states[i].oldArm.Since(start.oldArm)
+		start = states[i]
+		if bad, total := of(&slice); total > 0 {
+			expected := share * float64(total)
+			sum += (float64(bad) - expected) * (float64(bad) - expected) / (expected * (1 - share))
+			slices++
+		}
+	}
+	if slices < 2 {
+		return 1
+	}
+	return max(sum/float64(slices-1), 1)
+}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"medlarslip/internal/coordination/workload"
 	"medlarslip/internal/state/backends"
 )
 
@@ -21,8 +22,8 @@
 	Now time.Time
 	// Remaining is the time left for the answer; 0 means no bound.
 	Remaining time.Duration
-	// Entries is the number of entry instances that share the servers; 0
-	// counts as 1.
+	// Entries is the number of entry instances that share the servers, for placement by
+	// cost of those that send requests at present; 0 counts as 1.
 	Entries int
 	// Exclude holds the IDs of servers on which this request already failed.
 	Exclude []string
@@ -37,6 +38,9 @@
 	LongPrompt bool
 	// LongShare is the share of the servers, 0 to 1, that long prompts go to.
 	LongShare float64
+	// Expected is what the run is expected to take, for placement by cost; nil for
+	// placement by load.
+	Expected *workload.Expectation
 	// DomainOut reports whether operators have taken a failure domain out of
 	// service; nil means that none is.
 	DomainOut func(failureDomain string) bool
@@ -68,11 +72,17 @@
 	// Dropped is the cause for which a filter dropped the server; empty if none
 	// did.
 	Dropped string
-	// Score is the expected load ahead of the request, in requests in progress;
-	// lower is better.
+	// Score is the expected load ahead of the request, in requests in progress, or
+	// its expected cost in seconds for placement by cost; lower is better.
 	Score float64
 	// Affine is true if the server owns the prompt prefix by rendezvous hashing.
 	Affine bool
+	// Times is what the run is expected to take at the server. Late is true if it is
+	// expected to end after the deadline, and Warm if the server is expected to have
+	// cached the prompt prefix. All three are set only for placement by cost.
+	Times workload.Times
+	Late  bool
+	Warm  bool
 	// OtherGroup is true for a server assigned to prompts of the other length.
 	OtherGroup bool
 	// Cold is true for a server that is not warm.
@@ -102,6 +112,10 @@
 // Decide samples, filters and scores candidates and picks one.
 func Decide(req *Request, view View, random *rand.Rand) Decision {
 	candidates := sample(req, view, random)
+	if req.Expected != nil {
+		scoreByCost(req, candidates)
+		return Decision{InView: view.Len(), Candidates: candidates, Picked: cheapest(candidates, comparedServers(req), random)}
+	}
 	scoreAll(req, candidates)
 	return Decision{InView: view.Len(), Candidates: candidates, Picked: pick(candidates, random)}
 }
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/coordination/workload"
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/state/backends"
 )
@@ -105,6 +107,62 @@
 	must.Eq(t, 0, decision.Chosen().Bound)
 }
 
+// TestCallsInProgressDelayTheProbeOnce guards against a server that stays without calls for up to 30 s after one fault,
+// because every call that was in progress then lengthens the wait for the probe.
+func TestCallsInProgressDelayTheProbeOnce(t *testing.T) {
+	for name, result := range map[string]backends.CallResult{"failed": backends.CallFailed, "unreachable": backends.CallUnreachable} {
+		t.Run(name, func(t *testing.T) {
+			const calls = 40
+			view := newList(1)
+			for range calls {
+				must.True(t, view[0].Begin(0))
+			}
+			dropped := func(after time.Duration) string {
+				return routing.Decide(&routing.Request{Target: target, Now: start.Add(after)}, view, newRandom(1)).Candidates[0].Dropped
+			}
+			for n := range calls {
+				ended := time.Duration(n) * time.Millisecond
+				view[0].Settle(start.Add(ended), time.Second+ended, result)
+			}
+			must.Eq(t, routing.DroppedBreaker, dropped(900*time.Millisecond))
+			must.Eq(t, "", dropped(1100*time.Millisecond))
+			// Only a call that began after the breaker had opened shows that the fault lasts.
+			must.True(t, view[0].Begin(1))
+			view[0].Settle(start.Add(1200*time.Millisecond), 100*time.Millisecond, result)
+			must.Eq(t, routing.DroppedBreaker, dropped(3100*time.Millisecond))
+			must.Eq(t, "", dropped(3300*time.Millisecond))
+		})
+	}
+}
+
+// TestProbeIsAllowedAtOnceAfterACut guards against servers that an instance avoids for a long time after it was cut off
+// from all of them, and against calls of the cut that end later and delay the probe again.
+func TestProbeIsAllowedAtOnceAfterACut(t *testing.T) {
+	view := newList(1)
+	now := start
+	dropped := func() string {
+		return routing.Decide(&routing.Request{Target: target, Now: now}, view, newRandom(1)).Candidates[0].Dropped
+	}
+	must.True(t, view[0].Begin(0))
+	for range 12 {
+		must.True(t, view[0].Begin(0))
+		view[0].Settle(now, time.Millisecond, backends.CallUnreachable)
+		now = now.Add(time.Second)
+	}
+	must.Eq(t, routing.DroppedBreaker, dropped())
+	view[0].AllowProbe(now)
+	view[0].Settle(now.Add(time.Millisecond), 10*time.Second, backends.CallUnreachable)
+	now = now.Add(2 * time.Millisecond)
+	must.Eq(t, "", dropped())
+	must.True(t, view[0].Begin(1))
+	must.Eq(t, routing.DroppedProbing, dropped())
+	view[0].Settle(now, time.Millisecond, backends.CallUnreachable)
+	must.Eq(t, routing.DroppedBreaker, dropped())
+	healthy := newList(1)
+	healthy[0].AllowProbe(now)
+	must.Eq(t, 0, routing.Decide(&routing.Request{Target: target, Now: now}, healthy, newRandom(1)).Chosen().Bound)
+}
+
 func TestFullServersDoNotOpenTheBreaker(t *testing.T) {
 	view := newList(1)
 	for range 20 {
@@ -205,6 +263,45 @@
 	must.Greater(t, 4*ours, least)
 }
 
+// TestNoHerdingByCost guards against comparing so many servers that instances with the same
+// stale reports choose alike: 40 instances before 20 servers, with the bound of TestNoHerding.
+func TestNoHerdingByCost(t *testing.T) {
+	random := newRandom(3)
+	estimators := make([]workload.Estimators, 40)
+	run := streamRun(0)
+	highest := herd(func(i int, views []backends.List) int {
+		req := &routing.Request{Target: target, Now: start, Entries: len(views), Expected: estimators[i].Expect(&run, start)}
+		return routing.Decide(req, views[i], random).Chosen().Index
+	})
+	t.Logf("highest number of requests at one server, mean 10: %d", highest)
+	must.LessEq(t, 30, highest)
+}
+
+// TestFewSendersCompareMoreServers guards against comparing two servers where few instances
+// send requests, and many where many do: an idle server among 16 is found by at least seven
+// sixteenths of the decisions of 9 senders and by at most three sixteenths of those of 40.
+// Both bounds have a margin of 4 standard deviations of the binomial distribution.
+func TestFewSendersCompareMoreServers(t *testing.T) {
+	const decisions = 4000
+	var estimators workload.Estimators
+	run := streamRun(0)
+	view := newList(16)
+	for i := range view {
+		view[i].SetLoad(backends.Load{Running: 11, Slots: 12, ReadAt: start})
+	}
+	view[5].SetLoad(backends.Load{Running: 2, Slots: 12, ReadAt: start})
+	bound := func(share, deviations float64) int {
+		return int(decisions*share + deviations*math.Sqrt(decisions*share*(1-share)))
+	}
+	found := func(senders int) int {
+		req := &routing.Request{Target: target, Now: start, Entries: senders, Expected: estimators.Expect(&run, start)}
+		return decideMany(req, view, decisions)[5]
+	}
+	must.GreaterEq(t, bound(7.0/16, -4), found(9))
+	must.LessEq(t, bound(3.0/16, 4), found(40))
+	must.LessEq(t, bound(3.0/16, 4), found(410))
+}
+
 func BenchmarkDecide600(b *testing.B) {
 	view := newList(600)
 	random := newRandom(1)
--- a/internal/coordination/routing/sample.go
+++ b/internal/coordination/routing/sample.go
@@ -52,16 +52,40 @@
 // hashing (Thaler and Ravishankar, 1998) among the eligible servers, or -1 for
 // none. Removing a server moves only the prefixes that it owns.
 func prefixOwners(req *Request, view View) (first, second int) {
-	first, second = -1, -1
 	if req.PrefixHash == 0 {
+		return -1, -1
+	}
+	// A server is copied only to check whether it is eligible, which costs more than all
+	// weights of a large view. Those of the highest weights are checked first.
+	var ranked ranking
+	for i := range view.Len() {
+		ranked.add(i, mix(req.PrefixHash^view.Hash(i)))
+	}
+	first, second = -1, -1
+	var candidate Candidate
+	for _, r := range ranked.highest[:ranked.count] {
+		switch {
+		case !canOwnPrefix(req, view, r.index, &candidate):
+		case first < 0:
+			first = r.index
+		default:
+			return first, r.index
+		}
+	}
+	if ranked.count == view.Len() {
 		return first, second
 	}
+	return prefixOwnersOfAll(req, view, &candidate)
+}
+
+// prefixOwnersOfAll is prefixOwners for a view of which most servers are not eligible.
+func prefixOwnersOfAll(req *Request, view View, candidate *Candidate) (first, second int) {
+	first, second = -1, -1
 	var highest, next uint64
-	var candidate Candidate
 	for i := range view.Len() {
 		weight := mix(req.PrefixHash ^ view.Hash(i))
 		// The filters run for few servers, since the weight of most is too low.
-		if (second >= 0 && weight <= next) || !canOwnPrefix(req, view, i, &candidate) {
+		if (second >= 0 && weight <= next) || !canOwnPrefix(req, view, i, candidate) {
 			continue
 		}
 		switch {
@@ -75,6 +99,34 @@
 	return first, second
 }
 
+// ranking holds the servers of the highest weights in descending order; of equal weights the
+// first one added comes first. With half of the servers eligible, as for prompts of one length,
+// fewer than two of eight are eligible in 9 of 256 cases.
+type ranking struct {
+	highest [8]weightedServer
+	count   int
+}
+
+type weightedServer struct {
+	index  int
+	weight uint64
+}
+
+func (r *ranking) add(index int, weight uint64) {
+	at := r.count
+	if at == len(r.highest) {
+		if at--; weight <= r.highest[at].weight {
+			return
+		}
+	} else {
+		r.count++
+	}
+	for ; at > 0 && weight > r.highest[at-1].weight; at-- {
+		r.highest[at] = r.highest[at-1]
+	}
+	r.highest[at] = weightedServer{index, weight}
+}
+
 // canOwnPrefix reports whether a server is eligible and assigned to prompts of
 // the request's length. It overwrites the given candidate to avoid an
 // allocation.
--- a/internal/coordination/routing/score.go
+++ b/internal/coordination/routing/score.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"time"
 
 	"medlarslip/internal/state/backends"
@@ -82,21 +81,11 @@
 	return -1
 }
 
-// expectedLoad estimates the load of the server. Since reports lag, it adds the
-// calls that this instance began or ended since the report. As the report ages,
-// the estimate moves towards this instance's own calls in flight, multiplied by
-// the number of entry instances.
+// expectedLoad estimates the load of the server. As its report ages, the estimate moves towards
+// this instance's own calls in flight, multiplied by the number of entry instances.
 func expectedLoad(req *Request, server *backends.Snapshot) float64 {
 	own := float64(server.InFlight) * float64(max(req.Entries, 1))
-	if server.Load.ReadAt.IsZero() {
-		return own
-	}
-	reported := float64(server.Load.Running) + waitingWeight*float64(server.Load.Waiting)
-	since := float64(server.InFlight - server.InFlightAtLoad)
-	estimate := max(reported+since, float64(server.InFlight))
-	age := max(req.Now.Sub(server.Load.ReadAt), 0)
-	trust := math.Exp2(-float64(age) / float64(loadHalfLife))
-	return trust*estimate + (1-trust)*own
+	return server.EstimateLoad(&backends.LoadModel{HalfLife: loadHalfLife, WaitingWeight: waitingWeight, Fallback: own}, req.Now)
 }
 
 func scoreDomain(req *Request, server *backends.Snapshot) float64 {
--- a/internal/coordination/staging/decide.go
+++ b/internal/coordination/staging/decide.go
@@ -8,16 +8,26 @@
 )
 
 // Export returns the counts of this instance for its open rollouts, to be sent
-// to its peers.
+// to its peers. Where the settings state the longest pause of a session, the entry of a
+// target is sent also without counts, since its age lets all instances change the share of the
+// trial at the same time.
 func (c *Controller) Export() []rollout.ArmCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	exported := make([]rollout.ArmCounts, 0, len(c.counts))
+	for service, order := range c.orders {
+		arm := rollout.Arm{Rollout: service, VersionID: order.order.Target}
+		if _, counted := c.counts[arm]; !counted && c.isOpen(order) && c.reportsTimes() {
+			entry := rollout.ArmCounts{Arm: arm}
+			c.setAge(&entry, order)
+			exported = append(exported, entry)
+		}
+	}
 	for arm, counts := range c.counts {
 		if order, ordered := c.orders[arm.Rollout]; ordered {
 			entry := rollout.ArmCounts{Arm: arm, Counts: counts}
 			if arm.VersionID == order.order.Target {
-				entry.AgeMS = c.now().Sub(order.seenAt).Milliseconds()
+				c.setAge(&entry, order)
 			}
 			exported = append(exported, entry)
 		}
@@ -25,6 +35,15 @@
 	return exported
 }
 
+// setAge states the age of an order. The time to its deadline distinguishes it from
+// another order of the same target.
+func (c *Controller) setAge(entry *rollout.ArmCounts, order *orderState) {
+	entry.AgeMS = c.now().Sub(order.seenAt).Milliseconds()
+	if c.reportsTimes() {
+		entry.WithinMS, entry.Servers = order.order.Within.Milliseconds(), statedServers(order)
+	}
+}
+
 // Merge joins the counts of a peer into those already received. A peer sends
 // its counts in full each time. source identifies one run of the peer.
 func (c *Controller) Merge(source string, received []rollout.ArmCounts) {
@@ -47,17 +66,26 @@
 }
 
 // mergeAge moves the start of an order back if a peer has had the order for
-// longer, so that an instance that has just started is in the same phase of the
-// trial. The age that a peer states of a version that was ordered before may be that of
-// the earlier order.
+// longer, and joins the number of servers, so that an instance that has just started is in the
+// same phase of the trial. The age that a peer states of a version that was ordered before may be that of
+// the earlier order, so it is ignored. The number of servers is joined nevertheless: instances that
+// see different numbers would move sessions back. The previous build does not state to which order
+// an age belongs.
 func (c *Controller) mergeAge(entry rollout.ArmCounts) {
 	order, ordered := c.orders[entry.Arm.Rollout]
-	if !ordered || order.before != nil || entry.Arm.VersionID != order.order.Target {
+	if !ordered || entry.Arm.VersionID != order.order.Target {
 		return
 	}
-	if seenAt := c.now().Add(-time.Duration(entry.AgeMS) * time.Millisecond); seenAt.Before(order.seenAt) {
+	if entry.WithinMS != 0 && entry.WithinMS != order.order.Within.Milliseconds() {
+		return
+	}
+	if seenAt := c.now().Add(-time.Duration(entry.AgeMS) * time.Millisecond); order.before == nil && seenAt.Before(order.seenAt) {
 		order.seenAt = seenAt
 	}
+	if entry.WithinMS != 0 && entry.Servers == 0 {
+		order.mixedBuilds = true
+	}
+	c.learnServers(order, entry.Servers)
 }
 
 // Decision is a status to be agreed, with its reason.
@@ -121,17 +149,29 @@
 	if c.isReturn(s) {
 		return c.decideReturn(s, announced, serving, oldArm, newArm)
 	}
+	p := c.phasesOf(s)
 	if s.worseReason == "" {
-		s.worseReason = s.detector.RegressionCause(oldArm, newArm, c.now())
+		s.worseReason = s.evidence.regressionCause(p, oldArm, newArm, c.now())
+	}
+	if c.underLoad(s) {
+		s.evidence.startLoad(p.lateFrom, oldArm, newArm, c.now())
 	}
-	if s.atLoadStart == nil && s.underLoad(c.now()) {
-		s.atLoadStart = &newArm
-		s.detector.StartWindow(oldArm, newArm, c.now())
+	due := !c.now().Before(s.promoteAt()) && s.evidence.notWorseUnderLoad(oldArm, newArm) && serving > 0
+	late := !c.now().Before(s.giveUpAt())
+	cause := ""
+	if due || late {
+		cause = s.evidence.suspicionCause(p, oldArm, newArm, c.now())
+	}
+	suspected := cause != ""
+	if due && suspected && s.worseReason == "" {
+		c.holdBack(s, cause, oldArm, newArm)
 	}
 	switch {
 	case s.worseReason != "":
 		return c.newDecision(s, RolledBack, s.worseReason, oldArm, newArm), true
-	case !c.now().Before(s.promoteAt()) && s.notWorseUnderLoad(oldArm, newArm) && serving > 0:
+	case suspected && late:
+		return c.newDecision(s, RolledBack, reasonSuspected, oldArm, newArm), true
+	case due && !suspected:
 		return c.newDecision(s, Succeeded, "not_worse", oldArm, newArm), true
 	case !announced:
 		return c.newDecision(s, Running, "ordered", oldArm, newArm), true
@@ -150,12 +190,6 @@
 	return Decision{}, false
 }
 
-// notWorseUnderLoad reports whether enough answers under load show that the new
-// version is not worse.
-func (s *orderState) notWorseUnderLoad(oldArm, newArm rollout.Counts) bool {
-	return s.atLoadStart != nil && rollout.NonInferior(oldArm, newArm, newArm.Since(*s.atLoadStart))
-}
-
 // newDecision returns a decision, due since the same state was first decided.
 func (c *Controller) newDecision(s *orderState, state State, reason string, oldArm, newArm rollout.Counts) Decision {
 	if s.due != state {
--- a/internal/coordination/staging/decider.go
+++ b/internal/coordination/staging/decider.go
@@ -45,11 +45,18 @@
 }
 
 func (d *Decider) tick(ctx context.Context) {
+	d.Controller.ObserveServers(d.Serving)
 	if !d.Ready() {
 		return
 	}
 	delay := time.Duration(d.Rank()) * failoverDelay
 	decisions := d.Controller.Decide(d.Serving)
+	for _, held := range d.Controller.takeHeldBack(delay) {
+		d.Log.WithFields(logrus.Fields{
+			"event": "rollout_held_back", "service": held.Status.Service, "target": held.Status.Target,
+			"reason": held.Reason, "old": held.Old, "new": held.New,
+		}).Warn("version is not promoted while its counts are evidence that it is worse")
+	}
 	if d.Lost != nil {
 		decisions = append(decisions, d.Lost()...)
 	}
--- a/internal/coordination/staging/stage.go
+++ b/internal/coordination/staging/stage.go
@@ -48,12 +48,17 @@
 // Stage returns the versions allowed for requests of a session. A session that
 // is active on the old version keeps it.
 func (c *Controller) Stage(service string, session uint64) Stage {
+	defer c.announceUrgent()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.history(service)
 	if order, ordered := c.orders[service]; ordered && c.isOpen(order) {
 		return c.openStage(order, h, session)
 	}
+	if target := c.movedElsewhere(h, service, session); target != "" {
+		c.recordOwn(ActiveSession{Service: service, Session: session}, target)
+		return Stage{Only: target, Barred: h.barred, Trial: true}
+	}
 	c.recordCandidate(service, session)
 	status := c.statuses[service]
 	if status.State == Succeeded {
--- a/internal/coordination/staging/staging.go
+++ b/internal/coordination/staging/staging.go
@@ -50,6 +50,10 @@
 type Controller struct {
 	exposure func() float64
 	now      func() time.Time
+	// sessionTime and orderSpread are the arguments of SetTimes; nil if it was not called.
+	sessionTime, orderSpread func() time.Duration
+	// announce is the argument of OnUrgentUse; nil if it was not called.
+	announce func()
 	mu       sync.Mutex
 	orders   map[string]*orderState // by service
 	statuses map[string]Status      // by service
@@ -57,6 +61,13 @@
 	peers    map[string]map[rollout.Arm]rollout.Counts // by run of an instance
 	sessions sessionTracker
 	versions map[string]*versionHistory // by service
+	// servers is the number of servers of the version that has the most, by service.
+	servers map[string]int
+	// candidates holds the phases by which sessions are recorded while there is no open order, by
+	// service.
+	candidates map[string]*cachedPhases
+	// heldBack counts the versions that takeHeldBack has returned.
+	heldBack uint64
 }
 
 type orderState struct {
@@ -64,17 +75,41 @@
 	// seenAt is when the first instance received the order, as far as this
 	// instance has learned from its peers.
 	seenAt time.Time
+	// continuesFrom is the start of the open order of the same target that this one
+	// replaced; the zero time if there is none.
+	continuesFrom time.Time
 	// before holds the counts that the target has from an earlier order, after which it was
 	// rejected; nil if there is none.
 	before      *rollout.Counts
-	detector    rollout.Detector
+	evidence    evidence
 	worseReason string
-	// atLoadStart holds the counts of the new version when the larger share
-	// began; nil before.
-	atLoadStart *rollout.Counts
+	// servers is the largest number of servers of the target that accepted requests at any
+	// instance, as far as this one has learned; 0 if it is not known. It does not decrease,
+	// so that all instances agree on it whatever they see for a short time.
+	servers int
+	// usualFor is how long the trial had the usual shares before servers was known.
+	usualFor time.Duration
+	// mixedBuilds is true if an instance of the previous build has the order. It has no phase at
+	// full load and would send sessions that have moved in it back to the old version, so that
+	// the trial has the usual shares at all instances.
+	mixedBuilds bool
+	// phases are those of the trial, and candidates those by which sessions are recorded.
+	phases, candidates cachedPhases
 	// due is the state that should be agreed, since dueAt.
 	due   State
 	dueAt time.Time
+	// held states that the version has been held back, with the counts at that time; nil
+	// if it has not. heldTaken is true once takeHeldBack has returned it.
+	held      *Decision
+	heldTaken bool
+}
+
+// movesSince returns the time from which moves of sessions belong to the order.
+func (s *orderState) movesSince() time.Time {
+	if !s.continuesFrom.IsZero() && s.continuesFrom.Before(s.seenAt) {
+		return s.continuesFrom
+	}
+	return s.seenAt
 }
 
 // New returns a controller without orders. exposure returns the share of the
@@ -83,15 +118,28 @@
 func New(exposure func() float64, now func() time.Time) *Controller {
 	return &Controller{
 		exposure: exposure, now: now,
-		orders:   map[string]*orderState{},
-		statuses: map[string]Status{},
-		counts:   map[rollout.Arm]rollout.Counts{},
-		peers:    map[string]map[rollout.Arm]rollout.Counts{},
-		sessions: newSessionTracker(),
-		versions: map[string]*versionHistory{},
+		orders:     map[string]*orderState{},
+		statuses:   map[string]Status{},
+		counts:     map[rollout.Arm]rollout.Counts{},
+		peers:      map[string]map[rollout.Arm]rollout.Counts{},
+		sessions:   newSessionTracker(),
+		versions:   map[string]*versionHistory{},
+		servers:    map[string]int{},
+		candidates: map[string]*cachedPhases{},
 	}
 }
 
+// SetTimes sets the longest pause of a session, 0 if it is not known, and the time within
+// which all instances learn of an order, before which no session moves. It must be called
+// before the controller is used.
+func (c *Controller) SetTimes(sessionTime, orderSpread func() time.Duration) {
+	c.sessionTime, c.orderSpread = sessionTime, orderSpread
+}
+
+// OnUrgentUse sets a function that sends a datagram to the peers at once. It is called
+// without the lock of the controller. It must be set before the controller is used.
+func (c *Controller) OnUrgentUse(announce func()) { c.announce = announce }
+
 // SetOrder applies an order. An identical order in force is kept with its
 // state. The target of a former order that has not succeeded gets no more requests.
 func (c *Controller) SetOrder(order Order) {
@@ -108,6 +156,9 @@
 	c.reconcile(order.Service)
 	h.addBaseline(order.Target, now)
 	state := &orderState{order: order, seenAt: now}
+	if ordered && former.order.Target == order.Target && c.isOpen(former) {
+		state.continuesFrom = former.movesSince()
+	}
 	if slices.Contains(h.rejected, order.Target) {
 		_, before := c.pool(order.Service, order.Target)
 		state.before = &before
@@ -136,6 +187,9 @@
 		return
 	}
 	c.statuses[status.Service] = status
+	if status.State == RolledBack {
+		c.endMoves(status.Service, status.Target)
+	}
 	c.reconcile(status.Service)
 }
 
--- a/internal/coordination/staging/staging_test.go
+++ b/internal/coordination/staging/staging_test.go
@@ -37,10 +37,12 @@
 	controllers []*staging.Controller
 }
 
-func newFleet(size int) *fleet {
+func newFleet(size int) *fleet { return newFleetWithExposure(size, exposure) }
+
+func newFleetWithExposure(size int, share float64) *fleet {
 	f := &fleet{clock: &clock{at: time.Unix(1000, 0)}}
 	for range size {
-		f.controllers = append(f.controllers, staging.New(func() float64 { return exposure }, f.clock.now))
+		f.controllers = append(f.controllers, staging.New(func() float64 { return share }, f.clock.now))
 	}
 	return f
 }
--- a/internal/coordination/staging/versions.go
+++ b/internal/coordination/staging/versions.go
@@ -209,6 +209,7 @@
 func (c *Controller) supersede(s *orderState) {
 	if c.isOpen(s) {
 		c.history(s.order.Service).reject(s.order.Target)
+		c.endMoves(s.order.Service, s.order.Target)
 	}
 }
 
--- a/internal/instance/bookings.go
+++ b/internal/instance/bookings.go
@@ -25,12 +25,17 @@
 	s := a.settings
 	owners := claims.NewOwnerAppender(a.log, s.Instance, a.members, claimForwarder{a.peerClient})
 	a.bookings = claims.New(a.log, owners, owners.Owns, s.Instance, a.incarnation)
+	a.bookings.LimitKeys(s.Limits.KeyBytes())
+	a.bookings.LimitAnswers(s.Limits.AnswerBytes(), s.Limits.LogPageBytes())
 	a.peerServer.Handle(methodAppendClaims, handleAppend(owners))
 
 	mirror := billing.NewMirror(s.Instance, a.incarnation, s.FailureDomain, a.members, billHolders{a.peerClient})
 	a.bills = billing.New(a.log, mirror, s.Instance, a.incarnation)
 	mirror.SetPending(a.bills.Pending)
 	holder := billing.NewCopyHolder(a.log)
+	ownBills, copies := s.Limits.BillBytes()
+	a.bills.LimitPending(ownBills)
+	holder.Limit(copies)
 	a.peerServer.Handle(methodHoldBills, handleHold(holder))
 
 	a.servingTasks = append(a.servingTasks, a.bookings.Run, a.bookings.Sweep)
