--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -129,7 +129,7 @@
 		})
 	}
 	// The stop begins while all callers are sending requests.
-	for answered.Load() < callers {
+	for answered.Load() < callers && len(failures) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	must.NoError(t, f.Stop("entry-1"))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,7 +16,7 @@
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/transport/adminapi"
 	"medlarslip/internal/transport/callerapi"
-	"medlarslip/internal/transport/idlelisten"
+	"medlarslip/internal/transport/clientconn"
 	"medlarslip/internal/transport/tlsfiles"
 )
 
@@ -31,7 +31,15 @@
 	// callersTLS is nil if callers use plain HTTP.
 	callersTLS *tls.Config
 	admin      *fasthttp.Server
-	drainer    *drain.Drainer
+	// adminConns is set once the instance listens.
+	adminConns *clientconn.Tracker
+	// refuseBody responds to callers whose request body was not read.
+	refuseBody func(*fasthttp.RequestCtx, error)
+	// dropAnswer replaces an answer that callers have no memory left for.
+	dropAnswer   func(*fasthttp.RequestCtx)
+	drainer      *drain.Drainer
+	clientLimits *clientLimits
+	connErrors   *connectionErrors
 }
 
 // New builds an instance. It opens no connection.
@@ -40,7 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &Instance{assembly: parts}
+	in := &Instance{assembly: parts, clientLimits: newClientLimits(s), connErrors: &connectionErrors{}}
+	parts.peerServer.Log = in.connErrors
 	if in.callersTLS, err = callersTLS(s); err != nil {
 		return nil, err
 	}
@@ -52,10 +61,11 @@
 		LongestRequest:  s.Drain.LongestRequest(),
 	})
 	callers := &callerapi.Server{Router: parts.newRouter(), Config: parts.store, Entries: parts.members, Closing: in.drainer.Closing}
-	in.callers = newServer(s, callers.Handle)
+	in.callers = newServer(s, callers.Handle, in.connErrors)
 	in.callers.ErrorHandler = callers.HandleError
+	in.refuseBody, in.dropAnswer = callers.RefuseBody, callers.DropAnswer
 	admin := &adminapi.Server{Instance: s.Instance, Config: parts.store, Explanations: parts.explanations, Leaving: in.drainer.Closing, Rollouts: parts.rollouts}
-	in.admin = newServer(s, admin.Handle)
+	in.admin = newServer(s, admin.Handle, in.connErrors)
 	return in, nil
 }
 
@@ -70,9 +80,10 @@
 	return certificate.ServerConfig(), nil
 }
 
-func newServer(s *settings.Entry, handler fasthttp.RequestHandler) *fasthttp.Server {
+func newServer(s *settings.Entry, handler fasthttp.RequestHandler, logger fasthttp.Logger) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
+		Logger:                logger,
 		MaxRequestBodySize:    s.Limits.MaxBodyBytes,
 		ReadBufferSize:        s.Limits.MaxHeaderBytes,
 		Concurrency:           s.Limits.MaxConnections,
@@ -102,7 +113,7 @@
 	drainErr := in.drainer.Run(context.Background())
 	stopServing()
 	stopWriting()
-	adminErr := in.admin.Shutdown()
+	adminErr := in.adminConns.Stop(in.admin, clientconn.StopTime)
 	groupErr := group.Wait()
 	for _, cleanup := range in.assembly.cleanups {
 		cleanup()
@@ -113,28 +124,49 @@
 
 func (in *Instance) listen(ctx context.Context, group *errgroup.Group) error {
 	addresses := in.assembly.settings.Listen
-	callers, err := net.Listen("tcp", addresses.Callers)
+	callers, err := in.open(ctx, addresses.Callers)
 	if err != nil {
 		return merry.Prepend(err, "listen for callers; check listen.callers")
 	}
-	callers = idlelisten.Wrap(callers, in.assembly.settings.Limits.StreamIdle())
+	callers = in.limitClients(in.callers, callers, in.refuseBody, in.dropAnswer)
 	if in.callersTLS != nil {
-		callers = tls.NewListener(callers, in.callersTLS)
+		callers = newTLSListener(callers, in.callersTLS)
 	}
-	peers, err := net.Listen("tcp", addresses.Peers)
+	peers, err := in.open(ctx, addresses.Peers)
 	if err != nil {
 		return merry.Prepend(err, "listen for peers; check listen.peers")
 	}
-	admin, err := net.Listen("tcp", addresses.Metrics)
+	admin, err := in.open(ctx, addresses.Metrics)
 	if err != nil {
 		return merry.Prepend(err, "listen for metrics; check listen.metrics")
 	}
+	in.adminConns = &clientconn.Tracker{Listener: in.limitClients(in.admin, admin, func(ctx *fasthttp.RequestCtx, err error) {
+		ctx.Error("the request was not read: "+err.Error(), fasthttp.StatusServiceUnavailable)
+	}, func(ctx *fasthttp.RequestCtx) {
+		ctx.Error("the answer does not fit into the memory for clients", fasthttp.StatusBadGateway)
+	})}
 	group.Go(func() error { return in.callers.Serve(callers) })
+	startTasks(ctx, group, []task{in.logClientLimits, in.connErrors.run})
+	peers = in.limitPeers(peers)
 	group.Go(func() error { return in.assembly.peerServer.Serve(ctx, peers) })
-	group.Go(func() error { return in.admin.Serve(admin) })
+	group.Go(func() error { return in.admin.Serve(in.adminConns) })
 	return nil
 }
 
+// open returns a listener that goes on after a lack of descriptors. With a limit of memory its
+// connections have small buffers of the kernel.
+func (in *Instance) open(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	if in.assembly.settings.Limits.MemoryMB > 0 {
+		config.Control = clientconn.SmallBuffers
+	}
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return clientconn.Retry(listener), nil
+}
+
 func startTasks(ctx context.Context, group *errgroup.Group, tasks []task) {
 	for _, run := range tasks {
 		group.Go(func() error { return run(ctx) })
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -1,5 +1,5 @@
 // Package losses summarizes from the logs of instances why and when requests were
-// refused, ended without an answer or were answered late.
+// refused, ended without an answer or were answered late, and how those of each size were served.
 package losses
 
 import (
@@ -25,6 +25,20 @@
 	Attempts string `json:"attempts"`
 	Late     string `json:"late"`
 	WaitedMS int64  `json:"waited_ms"`
+	// QueuedMS is how long the request waited for capacity, and Excess is true for one above the
+	// share of its account.
+	QueuedMS int64 `json:"queued_ms"`
+	Excess   bool  `json:"excess"`
+	// Size is the class of the expected work of the request.
+	Size    string `json:"size"`
+	Status  int    `json:"status"`
+	Resumed int    `json:"resumed"`
+	// FirstMS is the time to the first event of a stream, and TookMS that to the end. The predicted
+	// times are those of the last run.
+	FirstMS          int64 `json:"first_ms"`
+	TookMS           int64 `json:"took_ms"`
+	PredictedFirstMS int64 `json:"predicted_first_ms"`
+	PredictedMS      int64 `json:"predicted_ms"`
 }
 
 // cause counts the requests that failed or were late for one reason.
@@ -41,6 +55,7 @@
 	// requests that were answered in time.
 	Requests, AnsweredInTime int
 	causes                   map[string]*cause
+	sizes                    map[sizeKey]*sizeCounts
 }
 
 // maxLine limits the length of a log line in bytes.
@@ -70,6 +85,7 @@
 }
 
 func (r *Report) add(rec *logRecord) {
+	r.addSize(rec)
 	name := ""
 	switch {
 	case rec.Event == "request_refused":
@@ -78,6 +94,9 @@
 		return
 	case rec.Outcome != "answered":
 		name = "ended: " + rec.Outcome
+		if rec.Excess {
+			name += ", above the share of its account"
+		}
 	case rec.Late != "":
 		name = "late: " + rec.Late + ", " + lateCause(rec)
 	}
@@ -109,6 +128,12 @@
 		return "after a server that failed"
 	case slices.Contains(attempts, "not_run"):
 		return "after a server that refused"
+	case rec.Excess && rec.QueuedMS > 0:
+		return "waited for capacity, above the share of its account"
+	case rec.QueuedMS > 0:
+		return "waited for capacity"
+	case rec.Excess:
+		return "above the share of its account"
 	case slices.Contains(attempts, "weak"):
 		return "after a weak answer"
 	default:
@@ -116,7 +141,8 @@
 	}
 }
 
-// Write prints a line for each cause, the most frequent first.
+// Write prints a line for each cause, the most frequent first, and one for each route and class of
+// expected work.
 func (r *Report) Write(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(table, "%d requests, %d answered in time\n", r.Requests, r.AnsweredInTime)
@@ -125,7 +151,10 @@
 		share := float64(c.count) / float64(max(r.Requests, 1))
 		fmt.Fprintf(table, "%d\t%.2f%%\t%s\t%s\t%s\t%s\n", c.count, 100*share, c.name, c.first, c.last, c.mainRoute())
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return r.writeSizes(w)
 }
 
 func byCount(a, b *cause) int {
--- a/internal/protocol/attempt/attempt.go
+++ b/internal/protocol/attempt/attempt.go
@@ -47,6 +47,11 @@
 	// Body holds the fields of the caller's JSON object. The fields model, stream
 	// and priority are replaced.
 	Body map[string]json.RawMessage
+	// Unfinished is a message to append to the messages in Body, or empty. Body would
+	// otherwise need a copy of all messages.
+	Unfinished json.RawMessage
+	// Memory accounts for what the attempt holds; nil sets no limit.
+	Memory Memory
 }
 
 // Answer is a complete and validated answer.
@@ -54,6 +59,8 @@
 	// Body is the JSON text of the answer as the engine sent it.
 	Body   []byte
 	Parsed openai.ChatResponse
+	// Held is the memory of the answer.
+	Held *Held
 }
 
 // Chunk is one part of a streamed answer.
@@ -66,7 +73,7 @@
 // Stream is a streamed answer.
 type Stream interface {
 	// Next returns the next chunk. It returns io.EOF only after the end marker of
-	// the stream; any other error is of the kind ErrBroken.
+	// the stream; any other error is of the kind ErrBroken or ErrMemory.
 	Next() (*Chunk, error)
 	// LastEvent returns the number of the last event. It is 0 if the engine does
 	// not number its events, so that the stream can't be resumed.
@@ -96,10 +103,12 @@
 	RequestID   string
 	// IdempotencyKey is set for a call that is sent at most once.
 	IdempotencyKey string
+	// Memory accounts for the answer; nil sets no limit.
+	Memory Memory
 }
 
-// Services calls plain services. The error is of the kind ErrNotSent or
-// ErrNoAnswer.
+// Services calls plain services. The error is of the kind ErrNotSent,
+// ErrNoAnswer or ErrMemory.
 type Services interface {
 	Do(ctx context.Context, call *ServiceCall) (*records.KeptAnswer, error)
 }
--- a/internal/protocol/routes/index.go
+++ b/internal/protocol/routes/index.go
@@ -10,6 +10,9 @@
 	services     map[string]*Service
 	byKey        map[string]*Account
 	keysRequired bool
+	// topPriority holds the highest priority, the lowest number, of the routes of each
+	// service.
+	topPriority map[string]int
 }
 
 type hostRoutes struct {
@@ -27,6 +30,7 @@
 		services:     make(map[string]*Service, len(table.Services)),
 		byKey:        map[string]*Account{},
 		keysRequired: table.Accounts != nil,
+		topPriority:  map[string]int{},
 	}
 	for i := range table.Routes {
 		index.addRoute(&table.Routes[i])
@@ -50,6 +54,12 @@
 		x.byHost[host] = routes
 	}
 	routes.byPrefix[route.PathPrefix] = route
+	for i := range route.Targets {
+		service := route.Targets[i].Service
+		if top, known := x.topPriority[service]; !known || route.Priority < top {
+			x.topPriority[service] = route.Priority
+		}
+	}
 	routes.maxDepth = max(routes.maxDepth, strings.Count(route.PathPrefix, "/"))
 }
 
@@ -77,6 +87,16 @@
 	return found
 }
 
+// Rank returns by how much the priority of a route is below the highest priority among the
+// routes of a service; 0 is the highest.
+func (x *Index) Rank(route *Route, service string) int {
+	top, known := x.topPriority[service]
+	if !known {
+		return 0
+	}
+	return max(route.Priority-top, 0)
+}
+
 // Service returns the service of the given name, or nil.
 func (x *Index) Service(name string) *Service { return x.services[name] }
 
--- a/internal/protocol/routes/routes.go
+++ b/internal/protocol/routes/routes.go
@@ -109,3 +109,7 @@
 	Accounts []Account
 	Limits   Limits
 }
+
+// Older reports whether the table is older than the version in force, which it then does
+// not replace.
+func (t *Table) Older(inForce int64) bool { return t.Version < inForce }
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -90,6 +90,87 @@
 	MaxConnectionsPerIP  int `yaml:"max_connections_per_ip"`
 	StreamIdleMillis     int `yaml:"stream_idle_ms"`
 	ConnectTimeoutMillis int `yaml:"connect_timeout_ms"`
+	// MemoryMB is the memory of the machine in MiB. 0 sets no bound on the memory that
+	// callers make an instance hold.
+	MemoryMB int `yaml:"memory_mb"`
+}
+
+const (
+	// heapShare is the memory limit of the Go runtime as a share of the machine's memory.
+	// The rest is for buffers of the kernel and the program itself.
+	heapShare = 0.6
+	// clientMemoryShare is the share of the machine's memory that callers may make an
+	// instance hold, and addressShare the part of it for one address. All callers may share
+	// an address.
+	clientMemoryShare = 0.3
+	addressShare      = 0.75
+	// handshakeShare is the number of connections of other instances that are not authenticated yet,
+	// as a share of MaxConnections, and minHandshakes its minimum. A handshake takes some
+	// milliseconds.
+	handshakeShare = 0.125
+	minHandshakes  = 16
+	// lateRatingShare is the memory of answers that are rated after they were returned, as a share of the
+	// machine's memory.
+	lateRatingShare = 0.03
+	// keyShare is the memory of idempotency keys without their answers as a share of the machine's memory: with
+	// 134 MB there is room for 100,000 keys of up to 47 bytes each. maxKeyBytes has room for 100,000 of any size.
+	keyShare    = 0.115
+	maxKeyBytes = 37 << 20
+	// answerShare is the memory of the answers that are kept with idempotency keys, as a share of the machine's
+	// memory, and logPageShare that of a page of the log in which they are read.
+	answerShare  = 0.01
+	logPageShare = 0.01
+	// ownBytes of the heap are for the process itself.
+	ownBytes = 16 << 20
+	// minBillShare is the memory of bills while the log takes none, as a share of the machine's memory: of an
+	// instance's own ones, for which ownBillShare of it is, and of copies. They may occupy all of the heap that
+	// remains beside the other shares, if that is more.
+	minBillShare = 0.015
+	ownBillShare = 3.0 / 7
+	// bodyCopies is how often the largest body is in memory while it is read and handled.
+	bodyCopies = 4
+)
+
+// HeapBytes returns the memory limit of the Go runtime; 0 sets none.
+func (l Limits) HeapBytes() int64 { return l.memoryShare(heapShare) }
+
+// ClientBytes returns how much memory callers, and those of one address, may make an instance
+// hold; 0 sets no bound.
+func (l Limits) ClientBytes() (all, address int64) {
+	return l.memoryShare(clientMemoryShare), l.memoryShare(clientMemoryShare * addressShare)
+}
+
+// LateRatingBytes returns how much memory answers may occupy that are rated after they were returned; 0 sets no
+// bound.
+func (l Limits) LateRatingBytes() int64 { return l.memoryShare(lateRatingShare) }
+
+// KeyBytes returns how much memory idempotency keys without their answers may occupy; 0 sets no bound.
+func (l Limits) KeyBytes() int64 { return min(l.memoryShare(keyShare), maxKeyBytes) }
+
+// AnswerBytes returns how much memory the answers that are kept with idempotency keys may occupy; 0 sets no bound.
+func (l Limits) AnswerBytes() int64 { return l.memoryShare(answerShare) }
+
+// LogPageBytes returns how much memory a page of the log with such answers may occupy; 0 sets no bound.
+func (l Limits) LogPageBytes() int64 { return l.memoryShare(logPageShare) }
+
+// BillBytes returns how much memory the bills of an instance, and copies of those of others, may occupy while the log
+// takes none; 0 sets no bound.
+func (l Limits) BillBytes() (own, copies int64) {
+	callers, _ := l.ClientBytes()
+	rest := l.HeapBytes() - callers - l.LateRatingBytes() - l.KeyBytes() - l.AnswerBytes() - l.LogPageBytes() - ownBytes
+	all := max(rest, l.memoryShare(minBillShare))
+	own = int64(ownBillShare * float64(all))
+	return own, all - own
+}
+
+// MaxHandshakes returns the maximum number of connections to the listener for peers that are not
+// authenticated yet.
+func (l Limits) MaxHandshakes() int {
+	return max(int(handshakeShare*float64(l.MaxConnections)), minHandshakes)
+}
+
+func (l Limits) memoryShare(share float64) int64 {
+	return int64(share * float64(l.MemoryMB) * (1 << 20))
 }
 
 // StreamIdle returns the longest time without data on a stream.
@@ -146,6 +227,7 @@
 	maxHeaderBytes = 1 << 20
 	maxConnections = 1 << 20
 	maxMillis      = 60 * 60 * 1000
+	maxMemoryMB    = 1 << 20
 )
 
 // Validate returns nil or a strictyaml.FieldErrors that lists all errors.
@@ -166,6 +248,10 @@
 	c.inRange("limits.max_connections_per_ip", s.Limits.MaxConnectionsPerIP, 1, maxConnections)
 	c.inRange("limits.stream_idle_ms", s.Limits.StreamIdleMillis, 1, maxMillis)
 	c.inRange("limits.connect_timeout_ms", s.Limits.ConnectTimeoutMillis, 1, maxMillis)
+	c.inRange("limits.memory_mb", s.Limits.MemoryMB, 0, maxMemoryMB)
+	if _, address := s.Limits.ClientBytes(); address > 0 {
+		c.inRange("limits.max_body_bytes", s.Limits.MaxBodyBytes, 1, int(address/bodyCopies))
+	}
 	c.inRange("drain.entries_ttl_ms", s.Drain.EntriesTTLMillis, 1, maxMillis)
 	c.inRange("drain.longest_request_ms", s.Drain.LongestRequestMillis, 1, maxMillis)
 	return c.result()
--- a/internal/standin/localfleet/localfleet.go
+++ b/internal/standin/localfleet/localfleet.go
@@ -8,7 +8,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -155,16 +154,6 @@
 	must.NoError(f.t, err)
 }
 
-// freeAddress returns an address on a loopback IP that no other caller uses, so
-// its port is still free when an instance listens on it.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", loopback.UniqueIP()+":0")
-	must.NoError(t, err)
-	defer func() { must.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
-}
-
 // failureDomains are the failure domains in Document; Start assigns them to
 // entry instances in turn.
 var failureDomains = []string{"wdh-a", "wdh-b"}
@@ -189,12 +178,12 @@
 	return e
 }
 
-// Settings returns settings with free addresses for an entry instance of this
-// fleet.
+// Settings returns settings for an entry instance of this fleet, with addresses that
+// stay free until it listens.
 func (f *Fleet) Settings(id, failureDomain string) *settings.Entry {
 	return &settings.Entry{
 		Instance: id, FailureDomain: failureDomain, Region: "windhoek",
-		Listen:   settings.Listen{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Metrics: freeAddress(f.t)},
+		Listen:   settings.Listen{Callers: loopback.Address(), Peers: loopback.Address(), Metrics: loopback.Address()},
 		Platform: settings.Platform{Log: f.address, Instances: f.address, Ratings: f.address, Weights: f.address},
 		Keys: settings.Keys{SharedKeyFile: "unused", Operators: []settings.OperatorKey{
 			{Name: "anna", PublicKey: base64.StdEncoding.EncodeToString(f.publicKey)},
--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -36,13 +36,7 @@
 }
 
 // Refused returns an address that refuses connections.
-func Refused(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	must.NoError(t, listener.Close())
-	return listener.Addr().String()
-}
+func Refused() string { return Address() }
 
 // discardLogger drops the messages that the server logs about closed connections.
 type discardLogger struct{}
--- a/internal/state/backends/backends.go
+++ b/internal/state/backends/backends.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"medlarslip/internal/protocol/platform"
+	"medlarslip/internal/state/decay"
 )
 
 // Server is the description of one backend server.
@@ -43,6 +44,11 @@
 type Load struct {
 	Running int
 	Waiting int
+	// Slots is the number of requests that the server runs at the same time; 0 if unknown.
+	Slots int
+	// Slowness is how long work takes on the server's machine at the time of the report, as a
+	// multiple of the usual time; 0 if the server does not report it.
+	Slowness float64
 	// CacheUse is the share of the KV cache in use, 0 to 1.
 	CacheUse float64
 	// Started identifies the run of the server's process; 0 if unknown.
@@ -72,16 +78,23 @@
 	failures int
 	latency  time.Duration
 	failedAt time.Time
-	recent   recentCalls
-	prefill  outstandingPrefill
+	// countedAt is the time before which calls began whose failures are no longer counted.
+	countedAt time.Time
+	recent    recentCalls
+	prefill   outstandingPrefill
 	// position is the relative position of the server, 0 to 1, among the servers
 	// of its version.
 	position float64
 	// inFlightAtLoad is the value of inFlight when load was stored.
 	inFlightAtLoad int
+	// peak is the recent highest value of inFlight, and peakAtLoad its value when load was stored.
+	peak       inFlightPeak
+	peakAtLoad int
 	// hash is the hash of the ID. It never changes and is read without the lock.
 	hash    uint64
 	signals serverSignals
+	pace    Pace
+	stated  paceStatements
 }
 
 // Snapshot is a copy of the state of a Backend at one point in time.
@@ -92,12 +105,14 @@
 	InFlight int
 	// Answered counts successful answers of this incarnation of the server.
 	Answered int
-	// Failures counts failed calls since the last successful answer.
+	// Failures counts failed calls since the last successful answer; from
+	// UnreachableFailures on, only those begun after the failure counted before.
 	Failures int
 	// Latency is the exponentially weighted mean of the time to a successful
 	// answer.
 	Latency time.Duration
-	// FailedAt is the time of the latest failure; zero after a success.
+	// FailedAt is the time of the latest counted failure; zero after a success, or
+	// if a probe is due.
 	FailedAt time.Time
 	// BadShare is the share of recent calls, 0 to 1, that failed or took far
 	// longer than usual, smoothed towards 0 while there are few calls.
@@ -110,12 +125,17 @@
 	Position float64
 	// InFlightAtLoad is the value of InFlight when Load was stored.
 	InFlightAtLoad int
+	// PeakAtLoad is the highest value of InFlight in the 200 ms before Load was stored. Load states
+	// the requests at a time in between.
+	PeakAtLoad int
 	// Draining is true once an answer of this incarnation of the server
 	// announced that it is draining.
 	Draining bool
 	// BackoffUntil is the time until which the server asked not to receive
 	// requests; zero if it did not ask.
 	BackoffUntil time.Time
+	// Pace is what was observed of the speed of this run of the server.
+	Pace Pace
 }
 
 // Snapshot returns a copy of the current state.
@@ -137,8 +157,10 @@
 
 		FailedAt:       b.failedAt,
 		InFlightAtLoad: b.inFlightAtLoad,
+		PeakAtLoad:     b.peakAtLoad,
 		Draining:       b.signals.draining,
 		BackoffUntil:   b.signals.backoffUntil,
+		Pace:           b.pace,
 	}
 }
 
@@ -150,38 +172,21 @@
 	if limit > 0 && b.inFlight >= limit {
 		return false
 	}
-	b.inFlight++
+	b.addInFlight(1)
 	return true
 }
 
-// latencyWeight is the weight of a new value in the exponentially weighted mean
-// of the latency.
-const latencyWeight = 0.2
-
-// End counts one call less in flight and records whether it succeeded, and the
-// latency of a successful call.
-func (b *Backend) End(took time.Duration, good bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.inFlight--
-	if !good {
-		b.failures++
-		return
-	}
-	b.failures = 0
-	b.answered++
-	if b.latency == 0 {
-		b.latency = took
-		return
-	}
-	b.latency += time.Duration(latencyWeight * float64(took-b.latency))
+// addInFlight changes the number of calls in flight. The caller holds the lock.
+func (b *Backend) addInFlight(change int) {
+	b.inFlight += change
+	b.peak.observe(time.Now(), b.inFlight)
 }
 
 // Cancel undoes Begin for a call that was never sent.
 func (b *Backend) Cancel() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.inFlight--
+	b.addInFlight(-1)
 }
 
 // SetLoad stores a load report, unless a later one is stored already.
@@ -191,8 +196,15 @@
 	if load.ReadAt.Before(b.load.ReadAt) {
 		return
 	}
+	if load.Started != 0 && b.load.Started != 0 && load.Started != b.load.Started {
+		b.resetPace()
+	}
+	if load.Started != 0 && b.stated.started != 0 && load.Started != b.stated.started {
+		b.pace.Stated, b.stated = decay.Mean{}, paceStatements{}
+	}
 	b.load = load
 	b.inFlightAtLoad = b.inFlight
+	b.peakAtLoad = b.peak.highest(time.Now())
 }
 
 // update stores a new description of the server. For a new incarnation, which
@@ -203,6 +215,7 @@
 	if b.server.Incarnation != server.Incarnation {
 		b.answered, b.failures, b.latency, b.load, b.recent = 0, 0, 0, Load{}, recentCalls{}
 		b.signals = serverSignals{}
+		b.resetPace()
 	}
 	b.server = server
 }
@@ -228,6 +241,7 @@
 	// byID and byTarget are replaced as a whole and never modified.
 	byID     atomic.Pointer[map[string]*Backend]
 	byTarget atomic.Pointer[map[string][]*Backend]
+	byRunKey atomic.Pointer[map[uint32]*Backend]
 }
 
 // NewTable returns an empty table.
@@ -235,6 +249,7 @@
 	t := &Table{}
 	t.byID.Store(&map[string]*Backend{})
 	t.byTarget.Store(&map[string][]*Backend{})
+	t.byRunKey.Store(&map[uint32]*Backend{})
 	return t
 }
 
@@ -252,6 +267,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, byID := t.index(), make(map[string]*Backend, len(servers))
+	byRunKey := make(map[uint32]*Backend, len(servers))
 	byTarget := map[string][]*Backend{}
 	for _, server := range servers {
 		backend, ok := known[server.ID]
@@ -259,7 +275,7 @@
 			backend = &Backend{hash: xxhash.Sum64String(server.ID)}
 		}
 		backend.update(server)
-		byID[server.ID] = backend
+		byID[server.ID], byRunKey[server.RunKey()] = backend, backend
 		for _, target := range server.Serves {
 			byTarget[target] = append(byTarget[target], backend)
 		}
@@ -270,6 +286,7 @@
 	}
 	t.byID.Store(&byID)
 	t.byTarget.Store(&byTarget)
+	t.byRunKey.Store(&byRunKey)
 }
 
 // Get returns the server of the given ID, or nil.
--- a/internal/state/backends/settle.go
+++ b/internal/state/backends/settle.go
@@ -28,28 +28,58 @@
 // server that can't be reached, since an immediate retry is of no use.
 const UnreachableFailures = 5
 
-// Settle counts one call less in flight and records how it ended.
+// latencyWeight is the weight of a new value in the exponentially weighted mean
+// of the latency.
+const latencyWeight = 0.2
+
+// Settle counts one call less in flight and records how it ended, and the latency of a
+// successful call.
 func (b *Backend) Settle(now time.Time, took time.Duration, result CallResult) {
-	good := result == CallGood || result == CallSlow
-	bad := result == CallFailed || result == CallUnreachable
-	if good || bad {
-		b.End(took, good)
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if good || bad {
-		b.recent.add(now, result != CallGood)
-	}
+	b.addInFlight(-1)
 	switch result {
-	case CallNeutral, CallBusy:
-		b.inFlight--
-	case CallUnreachable:
-		b.failures = max(b.failures, UnreachableFailures)
-		b.failedAt = now
-	case CallFailed:
-		b.failedAt = now
 	case CallGood, CallSlow:
-		b.failedAt = time.Time{}
+		b.succeed(took)
+		b.recent.add(now, result == CallSlow)
+	case CallFailed, CallUnreachable:
+		b.fail(now, now.Add(-took), result == CallUnreachable)
+		b.recent.add(now, true)
+	}
+}
+
+// succeed records a successful call. The caller holds the lock.
+func (b *Backend) succeed(took time.Duration) {
+	b.failures, b.failedAt = 0, time.Time{}
+	b.answered++
+	if b.latency == 0 {
+		b.latency = took
+		return
+	}
+	b.latency += time.Duration(latencyWeight * float64(took-b.latency))
+}
+
+// fail records the failure of a call that began at the given time. The caller holds the lock.
+func (b *Backend) fail(now, began time.Time, unreachable bool) {
+	// Calls in progress at the same time report the same fault, and each counted failure beyond
+	// UnreachableFailures doubles the time to the next probe.
+	if b.failures >= UnreachableFailures && !began.After(b.countedAt) {
+		return
+	}
+	b.failures++
+	if unreachable {
+		b.failures = max(b.failures, UnreachableFailures)
+	}
+	b.failedAt, b.countedAt = now, now
+}
+
+// AllowProbe makes a probe of a server that can't be reached due at once. Calls that began before
+// do not delay the next one, however they end.
+func (b *Backend) AllowProbe(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failures >= UnreachableFailures {
+		b.failures, b.failedAt, b.countedAt = UnreachableFailures, time.Time{}, now
 	}
 }
 
--- a/internal/state/decay/decay.go
+++ b/internal/state/decay/decay.go
@@ -43,12 +43,22 @@
 
 // Add returns the mean with one more value of weight 1.
 func (m Mean) Add(now time.Time, halfLife time.Duration, value float64) Mean {
+	return m.AddWeighted(now, halfLife, value, 1)
+}
+
+// AddWeighted returns the mean with one more value of the given weight.
+func (m Mean) AddWeighted(now time.Time, halfLife time.Duration, value, weight float64) Mean {
 	m = m.decayed(now, halfLife)
-	m.weight++
-	m.sum += value
+	m.weight += weight
+	m.sum += weight * value
 	return m
 }
 
+// Weight returns the weight of all values at now.
+func (m Mean) Weight(now time.Time, halfLife time.Duration) float64 {
+	return m.decayed(now, halfLife).weight
+}
+
 // Value returns the mean at now, combined with a prior value that counts as much
 // as the given number of values.
 func (m Mean) Value(now time.Time, halfLife time.Duration, prior, priorWeight float64) float64 {
--- a/internal/state/quantile/quantile_test.go
+++ b/internal/state/quantile/quantile_test.go
@@ -43,3 +43,34 @@
 	above, known := tracker.Above(time.Hour, 5)
 	must.True(t, known && above)
 }
+
+// TestAverageHasASmallerError guards against callers that compare many values with the error of a
+// single estimate. The average is over about ten times the values after which the error of an
+// estimate has decayed, so its error is about a third of that of a single one.
+func TestAverageHasASmallerError(t *testing.T) {
+	const probability, trackers, values = 0.9, 200, 2000
+	random := rand.New(rand.NewPCG(1, 2))
+	true90 := math.Log(-math.Log(1 - probability))
+	squared := func(above func(time.Duration, int) (bool, bool)) float64 {
+		low, high := -5.0, 5.0
+		for range 30 {
+			middle := (low + high) / 2
+			if over, _ := above(time.Duration(math.Exp(middle)*float64(time.Second)), 1); over {
+				high = middle
+			} else {
+				low = middle
+			}
+		}
+		return (low - true90) * (low - true90)
+	}
+	single, average := 0.0, 0.0
+	for range trackers {
+		tracker := quantile.New(probability)
+		for range values {
+			tracker.Add(time.Duration(random.ExpFloat64() * float64(time.Second)))
+		}
+		single += squared(tracker.Above)
+		average += squared(tracker.AboveAverage)
+	}
+	must.Less(t, math.Sqrt(single)/2, math.Sqrt(average))
+}
--- a/internal/transport/callerapi/callerapi_test.go
+++ b/internal/transport/callerapi/callerapi_test.go
@@ -161,6 +161,20 @@
 	must.Eq(t, 1000, got.RetryAfterMillis)
 }
 
+// An answer that is dropped has run, so that its refusal must not say otherwise, and keeps its request ID.
+func TestDroppedAnswerMayHaveRun(t *testing.T) {
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Response.Header.Set(callerapi.HeaderRequestID, "id")
+	ctx.SetBodyString("an answer")
+	newServer(t, false).DropAnswer(ctx)
+	must.Eq(t, 502, ctx.Response.StatusCode())
+	got := decodeRefusal(t, ctx.Response.Body())
+	must.Eq(t, refusal.Unknown, got.Outcome)
+	must.Eq(t, "id", got.RequestID)
+	must.Eq(t, "id", string(ctx.Response.Header.Peek(callerapi.HeaderRequestID)))
+	must.True(t, ctx.Response.ConnectionClose())
+}
+
 func TestModelsListsAllowedModels(t *testing.T) {
 	address := loopback.Serve(t, newServer(t, true).Handle)
 	resp := do(t, address, "GET", "/v1/models", "secret", "")
--- a/internal/transport/callerapi/chat.go
+++ b/internal/transport/callerapi/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/protocol/openai"
 	"medlarslip/internal/protocol/refusal"
+	"medlarslip/internal/transport/clientconn"
 )
 
 func retryAfterSeconds(refused *refusal.Refusal) string {
@@ -39,7 +41,7 @@
 	setAnswerHeaders(ctx, result.VersionID, result.SessionToken)
 	ctx.Response.Header.Set(HeaderQuality, string(result.Quality))
 	ctx.SetContentType("application/json")
-	ctx.SetBody(result.Body)
+	ctx.Response.SetBodyRaw(result.Body)
 	return nil
 }
 
@@ -55,12 +57,18 @@
 		Config:       c.config,
 		Account:      c.account,
 		Kind:         kind,
+		Memory:       clientconn.RequestMemory(ctx),
 		SessionToken: string(ctx.Request.Header.Peek(HeaderSessionToken)),
 	}
-	body := append([]byte(nil), ctx.PostBody()...)
-	if err := json.Unmarshal(body, &call.Body); err != nil {
+	if openai.TooManyFields(ctx.PostBody()) {
+		return nil, refusal.New(refusal.KindBadRequest, "the request has more than "+strconv.Itoa(openai.MaxFields)+" fields", "send the fields of the OpenAI API only")
+	}
+	// The fields are copies.
+	if err := json.Unmarshal(ctx.PostBody(), &call.Body); err != nil {
 		return nil, invalidBody(err)
 	}
+	// The request that is sent to the engine takes the place of the body in memory.
+	ctx.Request.ResetBody()
 	request, err := openai.ParseChatRequest(call.Body)
 	if err != nil {
 		return nil, invalidBody(err)
@@ -138,12 +146,18 @@
 	_ = writeEvent(w, refusal.Encode(refused))
 }
 
+// writeBytes is the size of the parts in which an event is written. The server copies and queues each write of a
+// stream, so that a large one would be in memory several times until its caller takes it.
+const writeBytes = 2 << 10
+
 func writeEvent(w *bufio.Writer, data []byte) error {
 	if _, err := w.WriteString("data: "); err != nil {
 		return err
 	}
-	if _, err := w.Write(data); err != nil {
-		return err
+	for part := range slices.Chunk(data, writeBytes) {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
 	}
 	if _, err := w.WriteString("\n\n"); err != nil {
 		return err
--- a/internal/transport/callerapi/fuzz_test.go
+++ b/internal/transport/callerapi/fuzz_test.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -8,6 +9,7 @@
 
 	"medlarslip/internal/coordination/configuration"
 	"medlarslip/internal/protocol/document"
+	"medlarslip/internal/protocol/openai"
 	"medlarslip/internal/protocol/refusal"
 )
 
@@ -43,6 +45,17 @@
 	})
 }
 
+// A valid request with too many fields must be refused before they are decoded.
+func TestTooManyFieldsAreRefused(t *testing.T) {
+	for _, fields := range []int{openai.MaxFields, openai.MaxFields + 1} {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.SetBodyString(`{"model":"draft",` + strings.Repeat(`"x":0,`, fields-2) + `"messages":[{"role":"user"}]}`)
+		_, refused := decodeChat(ctx, fuzzCaller(), "r1")
+		must.Eq(t, fields > openai.MaxFields, refused != nil)
+		must.True(t, refused == nil || (refused.Kind == refusal.KindBadRequest && refused.Outcome == refusal.NotRun))
+	}
+}
+
 // FuzzServicePath checks that a call of a plain service is forwarded only if its
 // path is in the normalized form that the patterns are matched against.
 func FuzzServicePath(f *testing.F) {
--- a/internal/transport/callerapi/server.go
+++ b/internal/transport/callerapi/server.go
@@ -22,6 +22,7 @@
 	"medlarslip/internal/protocol/entries"
 	"medlarslip/internal/protocol/openai"
 	"medlarslip/internal/protocol/refusal"
+	"medlarslip/internal/state/clientmemory"
 )
 
 // Headers of the callers' API.
@@ -105,6 +106,31 @@
 	writeRefusal(ctx, refused, requestID)
 }
 
+// memoryRetry is when a caller may repeat a request that was refused for lack of memory:
+// after stalled bodies have been evicted.
+const memoryRetry = time.Second
+
+// RefuseBody answers requests whose body was not read to its end. They have not run.
+func (s *Server) RefuseBody(ctx *fasthttp.RequestCtx, err error) {
+	if !clientmemory.IsRefusal(err) {
+		s.HandleError(ctx, err)
+		return
+	}
+	requestID := xid.New().String()
+	ctx.Response.Header.Set(HeaderRequestID, requestID)
+	refused := refusal.New(refusal.KindOverloaded, "callers hold as much memory as this instance has for them", "send the request again, to another entry instance if there is one")
+	writeRefusal(ctx, refused.After(memoryRetry), requestID)
+}
+
+// DropAnswer replaces an answer that does not fit into the memory for callers. Its request has run.
+func (*Server) DropAnswer(ctx *fasthttp.RequestCtx) {
+	requestID := string(ctx.Response.Header.Peek(HeaderRequestID))
+	ctx.Response.Reset()
+	ctx.SetConnectionClose()
+	ctx.Response.Header.Set(HeaderRequestID, requestID)
+	writeRefusal(ctx, refusal.NewUnknown(refusal.KindBrokenAnswer, "the answer was dropped, since callers hold as much memory as this instance has for them", "read answers without delay, and ask again where that is harmless").After(memoryRetry), requestID)
+}
+
 func (s *Server) route(ctx *fasthttp.RequestCtx, requestID string) *refusal.Refusal {
 	path := string(ctx.Path())
 	switch {
--- a/internal/transport/callerapi/service.go
+++ b/internal/transport/callerapi/service.go
@@ -8,6 +8,7 @@
 
 	"medlarslip/internal/coordination/dispatch"
 	"medlarslip/internal/protocol/refusal"
+	"medlarslip/internal/transport/clientconn"
 )
 
 const maxIdempotencyKeyBytes = 256
@@ -27,7 +28,7 @@
 	}
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
-	ctx.SetBody(answer.Body)
+	ctx.Response.SetBodyRaw(answer.Body)
 	return nil
 }
 
@@ -50,6 +51,9 @@
 	if len(key) > maxIdempotencyKeyBytes {
 		return nil, refusal.New(refusal.KindBadRequest, "the Idempotency-Key is too long", "use at most 256 bytes")
 	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	// The request that is sent to the service takes the place of the body in memory.
+	ctx.Request.ResetBody()
 	return &dispatch.PlainCall{
 		RequestID:   requestID,
 		Config:      c.config,
@@ -59,7 +63,8 @@
 		Path:        path,
 		Query:       string(ctx.URI().QueryString()),
 		ContentType: string(ctx.Request.Header.ContentType()),
-		Body:        append([]byte(nil), ctx.PostBody()...),
+		Body:        body,
 		Key:         key,
+		Memory:      clientconn.RequestMemory(ctx),
 	}, nil
 }
--- a/internal/transport/console/console.go
+++ b/internal/transport/console/console.go
@@ -23,6 +23,7 @@
 	"medlarslip/internal/coordination/eventlog"
 	"medlarslip/internal/protocol/settings"
 	"medlarslip/internal/protocol/signed"
+	"medlarslip/internal/transport/clientconn"
 )
 
 const (
@@ -110,14 +111,15 @@
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
 	}
+	tracker := &clientconn.Tracker{Listener: listener}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.follower.run(ctx) })
 	group.Go(func() error { return s.fleet.run(ctx) })
 	group.Go(func() error { return s.history.run(ctx) })
-	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return server.Serve(tracker) })
 	group.Go(func() error {
 		<-ctx.Done()
-		return errors.Join(server.Shutdown(), closeListener(listener))
+		return errors.Join(tracker.Stop(server, clientconn.StopTime), closeListener(listener))
 	})
 	s.opts.Announce(s.LoginURL())
 	return group.Wait()
--- a/internal/transport/engine/engine.go
+++ b/internal/transport/engine/engine.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/openai"
+	"medlarslip/internal/transport/bodybuffer"
 	"medlarslip/internal/transport/httpconn"
 )
 
@@ -47,28 +49,78 @@
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	prepare(req, call, false)
-	if err := c.pool.Do(ctx, call.Address, req, resp, httpconn.ReuseIdle); err != nil {
+	held := attempt.NewHeld(call.Memory)
+	if err := prepare(req, call, false, held); err != nil {
+		return nil, err
+	}
+	raw, err := c.pool.Open(ctx, call.Address, req, resp, httpconn.ReuseIdle)
+	dropBody(req, held)
+	if err != nil {
+		return nil, callError(err)
+	}
+	defer raw.Close()
+	answer, err := readAnswer(call, raw, resp, held)
+	if err != nil {
+		held.Release()
+		return nil, err
+	}
+	answer.Held = held
+	return answer, nil
+}
+
+func readAnswer(call *attempt.EngineCall, raw *httpconn.Stream, resp *fasthttp.Response, held *attempt.Held) (*attempt.Answer, error) {
+	body, err := raw.ReadAll(held)
+	if err != nil {
 		return nil, callError(err)
 	}
 	if err := statusError(resp); err != nil {
 		return nil, err
 	}
-	return decodeAnswer(call, resp)
+	// The decoded text is a copy.
+	if err := held.Grow(int64(len(body))); err != nil {
+		return nil, merry.Prepend(attempt.ErrMemory, err.Error())
+	}
+	return decodeAnswer(call, string(resp.Header.Peek(HeaderRequestID)), body)
 }
 
-func prepare(req *fasthttp.Request, call *attempt.EngineCall, stream bool) {
+// prepare fills in a request. Its body counts until dropBody is called.
+func prepare(req *fasthttp.Request, call *attempt.EngineCall, stream bool, held *attempt.Held) error {
+	size := maxBodySize(call)
+	if err := held.Grow(int64(size)); err != nil {
+		return merry.Prepend(attempt.ErrBodyMemory, err.Error())
+	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + call.Address + openai.ChatCompletionsPath)
 	req.Header.SetContentType("application/json")
 	req.Header.Set(HeaderRequestID, call.AttemptID)
 	req.Header.Set(HeaderPriority, strconv.Itoa(call.Priority))
-	req.SetBodyRaw(encodeBody(call, stream))
+	req.SetBodyRaw(encodeBody(call, stream, size))
+	return nil
+}
+
+// dropBody releases the body of a request that was sent.
+func dropBody(req *fasthttp.Request, held *attempt.Held) {
+	req.SetBodyRaw(nil)
+	held.Release()
+}
+
+// systemFieldBytes bounds the size of the fields that the system sets, besides the version.
+const systemFieldBytes = 128
+
+// maxBodySize returns an upper bound of the size of an encoded body.
+func maxBodySize(call *attempt.EngineCall) int {
+	const punctuation = len(`,:`)
+	size := systemFieldBytes + len(quote(call.VersionID)) + len(call.Unfinished) + punctuation
+	for key, value := range call.Body {
+		size += len(quote(key)) + len(value) + punctuation
+	}
+	return size
 }
 
 // encodeBody combines the caller's fields with those that the system sets.
-func encodeBody(call *attempt.EngineCall, stream bool) []byte {
-	body := append([]byte(`{"model":`), quote(call.VersionID)...)
+func encodeBody(call *attempt.EngineCall, stream bool, size int) []byte {
+	body := append(make([]byte, 0, size), `{"model":`...)
+	body = append(body, quote(call.VersionID)...)
 	body = append(body, `,"stream":`...)
 	body = strconv.AppendBool(body, stream)
 	body = append(body, `,"priority":`...)
@@ -83,11 +135,24 @@
 		body = append(body, ',')
 		body = append(body, quote(key)...)
 		body = append(body, ':')
+		if key == "messages" && len(call.Unfinished) > 0 {
+			body = appendMessage(body, value, call.Unfinished)
+			continue
+		}
 		body = append(body, value...)
 	}
 	return append(body, '}')
 }
 
+// appendMessage appends a JSON array of at least one message with a further one at its end.
+func appendMessage(body, messages, message []byte) []byte {
+	messages = bytes.TrimRight(messages, " \t\r\n")
+	body = append(body, bytes.TrimSuffix(messages, []byte("]"))...)
+	body = append(body, ',')
+	body = append(body, message...)
+	return append(body, ']')
+}
+
 // isSystemField reports whether the system sets a field; a value of the caller
 // is dropped.
 func isSystemField(key string) bool {
@@ -105,6 +170,9 @@
 }
 
 func callError(err error) error {
+	if errors.Is(err, bodybuffer.ErrMemory) {
+		return merry.Prepend(attempt.ErrMemory, err.Error())
+	}
 	if httpconn.MayHaveRun(err) {
 		return merry.Prepend(attempt.ErrBroken, err.Error())
 	}
@@ -128,12 +196,12 @@
 // decodeAnswer decodes an answer. It checks that the answer belongs to the
 // attempt, comes from the requested version, has at least one choice, and gives
 // a finish reason for each.
-func decodeAnswer(call *attempt.EngineCall, resp *fasthttp.Response) (*attempt.Answer, error) {
-	answer := &attempt.Answer{Body: bytes.Clone(resp.Body())}
+func decodeAnswer(call *attempt.EngineCall, header string, body []byte) (*attempt.Answer, error) {
+	answer := &attempt.Answer{Body: body}
 	if err := json.Unmarshal(answer.Body, &answer.Parsed); err != nil {
 		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
 	}
-	if err := checkAttempt(call, string(resp.Header.Peek(HeaderRequestID)), answer.Parsed.ID); err != nil {
+	if err := checkAttempt(call, header, answer.Parsed.ID); err != nil {
 		return nil, err
 	}
 	if err := checkModel(call, answer.Parsed.Model); err != nil {
--- a/internal/transport/engine/engine_test.go
+++ b/internal/transport/engine/engine_test.go
@@ -87,7 +87,7 @@
 }
 
 func TestCompleteReportsUnreachableServer(t *testing.T) {
-	_, err := newClient(t).Complete(context.Background(), newCall(loopback.Refused(t)))
+	_, err := newClient(t).Complete(context.Background(), newCall(loopback.Refused()))
 	must.ErrorIs(t, err, attempt.ErrUnreachable)
 }
 
--- a/internal/transport/engine/fuzz_test.go
+++ b/internal/transport/engine/fuzz_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"github.com/valyala/fasthttp"
 
 	"medlarslip/internal/protocol/attempt"
 )
@@ -25,7 +24,7 @@
 	f.Add([]byte("data: [DONE]\n\n" + chunk))
 	f.Add([]byte(":\n\ndata\n\ndata: null\n\n"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		e := readEvents(fuzzCall(), "", 0, bytes.NewReader(body))
+		e := readEvents(fuzzCall(), "", 0, bytes.NewReader(body), attempt.NewHeld(nil))
 		defer e.stop()
 		for {
 			part, err := e.Next()
@@ -50,9 +49,7 @@
 	f.Add([]byte(`{"id":"a1","model":"small-1","choices":[]}`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		resp := &fasthttp.Response{}
-		resp.SetBody(body)
-		answer, err := decodeAnswer(fuzzCall(), resp)
+		answer, err := decodeAnswer(fuzzCall(), "", body)
 		if err != nil {
 			must.ErrorIs(t, err, attempt.ErrBroken)
 			return
--- a/internal/transport/engine/stream.go
+++ b/internal/transport/engine/stream.go
@@ -19,11 +19,46 @@
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
+const (
+	// eventCopies is how often an event is in memory, at most: twice in the buffer that it arrives in, which
+	// doubles, and once each as the event, as the data of its chunk and as the decoded text.
+	eventCopies = 5
+	// smallEventBytes is the size of the first buffer of events. The memory that every request counts with
+	// covers events that fit into it.
+	smallEventBytes = 4 << 10
+)
+
+// countedEvents is a source of events that counts the largest one while it arrives, and until the stream ends,
+// since its buffer remains.
+type countedEvents struct {
+	source io.Reader
+	held   *attempt.Held
+	// arrived is the number of bytes since the last event, and counted the memory that they count with.
+	arrived, counted int64
+	// full is true once an event did not fit.
+	full bool
+}
+
+// Read implements io.Reader.
+func (c *countedEvents) Read(b []byte) (int, error) {
+	n, err := c.source.Read(b)
+	c.arrived += int64(n)
+	if more := eventCopies*max(c.arrived-smallEventBytes, 0) - c.counted; more > 0 {
+		if full := c.held.Grow(more); full != nil {
+			c.full = true
+			return 0, full
+		}
+		c.counted += more
+	}
+	return n, err
+}
+
 // Stream implements attempt.Stream.
 type Stream struct {
 	*events
 	raw  *httpconn.Stream
 	resp *fasthttp.Response
+	held *attempt.Held
 }
 
 // Open requests a streamed answer. If after is positive, it resumes the attempt
@@ -32,12 +67,16 @@
 func (c *Client) Open(ctx context.Context, call *attempt.EngineCall, after int) (attempt.Stream, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	prepare(req, call, true)
+	held := attempt.NewHeld(call.Memory)
+	if err := prepare(req, call, true, held); err != nil {
+		return nil, err
+	}
 	if after > 0 {
 		req.Header.Set(HeaderLastEventID, strconv.Itoa(after))
 	}
 	resp := fasthttp.AcquireResponse()
 	raw, err := c.pool.Open(ctx, call.Address, req, resp, httpconn.ReuseIdle)
+	dropBody(req, held)
 	if err != nil {
 		fasthttp.ReleaseResponse(resp)
 		return nil, callError(err)
@@ -48,7 +87,7 @@
 		return nil, err
 	}
 	header := string(resp.Header.Peek(HeaderRequestID))
-	return &Stream{events: readEvents(call, header, after, raw), raw: raw, resp: resp}, nil
+	return &Stream{events: readEvents(call, header, after, raw, held), raw: raw, resp: resp, held: held}, nil
 }
 
 func checkHeader(call *attempt.EngineCall, resp *fasthttp.Response) error {
@@ -67,6 +106,7 @@
 	s.stop()
 	s.raw.Close()
 	fasthttp.ReleaseResponse(s.resp)
+	s.held.Release()
 }
 
 // events reads and checks the events of one stream.
@@ -74,25 +114,29 @@
 	call *attempt.EngineCall
 	// attemptHeader is the attempt ID in the header of the response, or empty.
 	attemptHeader string
+	source        *countedEvents
 	next          func() (sse.Event, error, bool)
 	stop          func()
 	nextID        int
 }
 
-func readEvents(call *attempt.EngineCall, header string, after int, body io.Reader) *events {
-	e := &events{call: call, attemptHeader: header, nextID: after + 1}
-	e.next, e.stop = iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+func readEvents(call *attempt.EngineCall, header string, after int, body io.Reader, held *attempt.Held) *events {
+	e := &events{call: call, attemptHeader: header, nextID: after + 1, source: &countedEvents{source: body, held: held}}
+	e.next, e.stop = iter.Pull2(sse.Read(e.source, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
 	return e
 }
 
 // Next returns the next chunk. It returns io.EOF only after the end marker; any
-// other error is of the kind attempt.ErrBroken.
+// other error is of the kind attempt.ErrBroken or attempt.ErrMemory.
 func (e *events) Next() (*attempt.Chunk, error) {
 	event, err, more := e.next()
-	if err != nil {
+	e.source.arrived = 0
+	switch {
+	case err != nil && e.source.full:
+		return nil, merry.Prepend(attempt.ErrMemory, err.Error())
+	case err != nil:
 		return nil, merry.Prepend(attempt.ErrBroken, err.Error())
-	}
-	if !more {
+	case !more:
 		return nil, merry.Prepend(attempt.ErrBroken, "stream ended without its end mark")
 	}
 	if event.Data == openai.DoneMark {
--- a/internal/transport/httpconn/call.go
+++ b/internal/transport/httpconn/call.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"medlarslip/internal/transport/bodybuffer"
 )
 
 // Reuse selects which connections a call may use.
@@ -225,3 +227,17 @@
 	}
 	p.put(c)
 }
+
+// ReadAll reads the rest of the body into a buffer that the caller owns, and that memory accounts for. The error is
+// a *CallError, which wraps bodybuffer.ErrMemory if the body does not fit.
+func (s *Stream) ReadAll(memory bodybuffer.Memory) ([]byte, error) {
+	if s.resp.BodyStream() == nil {
+		s.eof = true
+		return nil, nil
+	}
+	body, err := bodybuffer.Read(s, s.resp.Header.ContentLength(), s.pool.opts.MaxBody, memory)
+	if err != nil {
+		return nil, &CallError{Phase: PhaseResponse, Address: s.conn.address, Err: err}
+	}
+	return body, nil
+}
--- a/internal/transport/httpconn/call_test.go
+++ b/internal/transport/httpconn/call_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
+	"medlarslip/internal/standin/loopback"
 	"medlarslip/internal/transport/httpconn"
 )
 
@@ -127,11 +128,7 @@
 }
 
 func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	address := listener.Addr().String()
-	must.NoError(t, listener.Close())
-	_, err = post(t, newPool(t), address, httpconn.ReuseNone)
+	_, err := post(t, newPool(t), loopback.Refused(), httpconn.ReuseNone)
 	must.Error(t, err)
 	must.False(t, httpconn.MayHaveRun(err))
 }
@@ -217,7 +214,7 @@
 			return err
 		},
 		"raw": func(pool *httpconn.Pool, address string) error {
-			req := httpconn.RawRequest{Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"), Body: []byte("work")}
+			req := httpconn.RawRequest{Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"), Body: [][]byte{[]byte("work")}}
 			_, err := pool.Fetch(t.Context(), address, req, httpconn.ReuseIdle, 100)
 			return err
 		},
--- a/internal/transport/httpconn/header_test.go
+++ b/internal/transport/httpconn/header_test.go
@@ -103,7 +103,7 @@
 		_, err := post(t, pool, server.address(), httpconn.ReuseNone)
 		must.Error(t, err, must.Sprint(header[:length]))
 		must.True(t, httpconn.MayHaveRun(err))
-		req := httpconn.RawRequest{Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"), Body: []byte("work")}
+		req := httpconn.RawRequest{Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"), Body: [][]byte{[]byte("work")}}
 		_, err = pool.Exchange(t.Context(), server.address(), req, httpconn.ReuseNone)
 		must.Error(t, err, must.Sprint(header[:length]))
 		must.True(t, httpconn.MayHaveRun(err))
--- a/internal/transport/httpconn/pool.go
+++ b/internal/transport/httpconn/pool.go
@@ -36,9 +36,9 @@
 	// Dial opens a TCP connection, within ConnectTimeout; nil means the dialer of the
 	// pool. It is not for use with TLS.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Dialed is called with the outcome of each attempt to open a connection that was not
-	// canceled; nil means that nobody needs it.
-	Dialed func(address string, err error)
+	// Dialed is called with the beginning and the outcome of each attempt to open a
+	// connection that was not canceled; nil means that nobody needs it.
+	Dialed func(address string, began time.Time, err error)
 	// TLS returns the configuration for the server at an IP address; nil means
 	// plain HTTP.
 	TLS func(ip string) *tls.Config
@@ -177,9 +177,10 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	began := time.Now()
 	nc, err := p.dialConn(ctx, address)
 	if p.opts.Dialed != nil && (err == nil || ctx.Err() == nil) {
-		p.opts.Dialed(address, err)
+		p.opts.Dialed(address, began, err)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/transport/httpconn/raw.go
+++ b/internal/transport/httpconn/raw.go
@@ -21,7 +21,8 @@
 	Method string
 	// Head is the request line and the header, including its final empty line.
 	Head []byte
-	Body []byte
+	// Body is the body in parts.
+	Body [][]byte
 }
 
 // Exchange is a response whose body is read as it arrives. Unlike Stream, it
@@ -98,13 +99,21 @@
 	return nil
 }
 
+// stateReporter is a connection without a file descriptor that can tell whether it is open
+// and has nothing to read.
+type stateReporter interface{ OpenAndEmpty() bool }
+
 // openAndEmpty reports whether the connection is open and has nothing to read. It
-// returns true for a connection that gives no access to its file descriptor.
+// returns true for a connection that gives no access to its file descriptor and is no
+// stateReporter.
 func (c *conn) openAndEmpty() bool {
 	netConn := c.Conn
 	if encrypted, ok := netConn.(*tls.Conn); ok {
 		netConn = encrypted.NetConn()
 	}
+	if reporter, ok := netConn.(stateReporter); ok {
+		return reporter.OpenAndEmpty()
+	}
 	sc, ok := netConn.(syscall.Conn)
 	if !ok {
 		return true
@@ -161,14 +170,23 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.idleTimeout)); err != nil {
 		return err
 	}
-	if len(req.Body) <= asyncBodyBytes {
-		_, err := c.Write(append(req.Head[:len(req.Head):len(req.Head)], req.Body...))
+	size := 0
+	for _, part := range req.Body {
+		size += len(part)
+	}
+	if size <= asyncBodyBytes {
+		whole := append(make([]byte, 0, len(req.Head)+size), req.Head...)
+		for _, part := range req.Body {
+			whole = append(whole, part...)
+		}
+		_, err := c.Write(whole)
 		return err
 	}
 	written := make(chan error, 1)
 	x.bodyWritten = written
 	go func() {
-		buffers := net.Buffers{req.Head, req.Body}
+		// WriteTo changes its receiver.
+		buffers := append(net.Buffers{req.Head}, req.Body...)
 		_, err := buffers.WriteTo(c.Conn)
 		written <- err
 	}()
--- a/internal/transport/logrelay/logrelay.go
+++ b/internal/transport/logrelay/logrelay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"medlarslip/internal/coordination/keyedlog"
+	"medlarslip/internal/state/clientmemory"
 	"medlarslip/internal/transport/httpconn"
 )
 
@@ -45,8 +46,20 @@
 		http.Error(w, err.Error(), http.StatusGone)
 		return
 	}
+	body, err := json.Marshal(page)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// Any client can ask for records, and need not read them.
+	memory := clientmemory.FromContext(r.Context())
+	if err := memory.Grow(int64(len(body))); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer memory.Shrink(int64(len(body)))
 	// A write error means that the peer has disconnected.
-	_ = json.NewEncoder(w).Encode(page)
+	_, _ = w.Write(body)
 }
 
 // decodePosition decodes the position that a request names. Requests of instances that
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +39,11 @@
 
 // Server answers calls of other entry instances.
 type Server struct {
+	// Authenticated is called with each connection whose caller has proved that it belongs to the
+	// fleet. After an error the connection is closed. nil does nothing.
+	Authenticated func(net.Conn) error
+	// Log receives the errors of connections; nil means standard error.
+	Log      jsonrpc2.Logger
 	identity *Identity
 	handlers map[string]Handler
 
@@ -73,7 +80,11 @@
 	conn := tls.Server(&countingConn{Conn: raw}, s.identity.serverConfig())
 	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	if err := conn.HandshakeContext(handshake); err != nil {
+	err := conn.HandshakeContext(handshake)
+	if err == nil && s.Authenticated != nil {
+		err = s.Authenticated(raw)
+	}
+	if err != nil {
 		rejectedConnections.Add(1)
 		_ = conn.Close()
 		return
@@ -83,7 +94,11 @@
 		return s.answer(ctx, from, req)
 	})
 	handler := jsonrpc2.AsyncHandler(answer.SuppressErrClosed())
-	session := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{}), handler)
+	var options []jsonrpc2.ConnOpt
+	if s.Log != nil {
+		options = append(options, jsonrpc2.SetLogger(s.Log))
+	}
+	session := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{}), handler, options...)
 	s.track(session, true)
 	<-session.DisconnectNotify()
 	s.track(session, false)
@@ -116,10 +131,13 @@
 
 func (s *Server) closeAll() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		_ = conn.Close()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, conn := range conns {
+		closing.Go(func() { _ = conn.Close() })
 	}
+	closing.Wait()
 }
 
 // countingConn counts the bytes on the wire and fails reads of idle connections.
--- a/internal/transport/plainservice/plainservice.go
+++ b/internal/transport/plainservice/plainservice.go
@@ -3,14 +3,15 @@
 package plainservice
 
 import (
-	"bytes"
 	"context"
+	"errors"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/protocol/records"
+	"medlarslip/internal/transport/bodybuffer"
 	"medlarslip/internal/transport/httpconn"
 )
 
@@ -32,8 +33,8 @@
 func New(pool *httpconn.Pool) *Client { return &Client{pool: pool} }
 
 // Do performs the call. A call with an idempotency key is written at most once,
-// on a new connection. The error is of the kind attempt.ErrNotSent or
-// attempt.ErrNoAnswer.
+// on a new connection. The error is of the kind attempt.ErrNotSent,
+// attempt.ErrNoAnswer or attempt.ErrMemory.
 func (c *Client) Do(ctx context.Context, call *attempt.ServiceCall) (*records.KeptAnswer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -53,7 +54,15 @@
 		reuse = httpconn.ReuseNone
 	}
 	req.SetBodyRaw(call.Body)
-	if err := c.pool.Do(ctx, call.Address, req, resp, reuse); err != nil {
+	raw, err := c.pool.Open(ctx, call.Address, req, resp, reuse)
+	if err != nil {
+		return nil, callError(err)
+	}
+	defer raw.Close()
+	held := attempt.NewHeld(call.Memory)
+	body, err := raw.ReadAll(held)
+	if err != nil {
+		held.Release()
 		return nil, callError(err)
 	}
 	// A service may send a copy of an earlier answer instead of this one. This is
@@ -64,11 +73,14 @@
 	return &records.KeptAnswer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
-		Body:        bytes.Clone(resp.Body()),
+		Body:        body,
 	}, nil
 }
 
 func callError(err error) error {
+	if errors.Is(err, bodybuffer.ErrMemory) {
+		return merry.Prepend(attempt.ErrMemory, err.Error())
+	}
 	if httpconn.MayHaveRun(err) {
 		return merry.Prepend(attempt.ErrNoAnswer, err.Error())
 	}
