peers: compare the traffic of watching in windows of one phase

TestWatchingFitsItsTraffic compares the bytes of two runs in windows of 5 s that began 2 s after convergence, which is checked every 50 ms. Reproduced with a shift of 200 and 400 ms (-135 B/s both); 10, 50, 100 ms change the busy instances only. The bounds are unchanged.

--- a/internal/coordination/peers/suspicion_test.go
+++ b/internal/coordination/peers/suspicion_test.go
@@ -260,7 +260,11 @@
 		for _, watches := range []bool{false, true} {
 			t.Run(fmt.Sprint(size, watches), watchedFleet(size, 1, func(f *fleet, busy []*member) {
 				f.watches.Store(watches)
-				time.Sleep(5 * time.Second)
+				// Both windows begin at the same time of the virtual clock, however long the
+				// fleet took to converge: one that begins 200 ms later in a round can hold one
+				// poll of a leader less at each instance.
+				windowStart := time.Now().Truncate(2 * detectionLimit).Add(2 * detectionLimit)
+				time.Sleep(time.Until(windowStart) + 5*time.Second)
 				f.traffic()
 				for _, m := range f.members {
 					bytes[watches] = append(bytes[watches], m.conn.bytes/5)
