routing: do not copy servers that are known to be full

Cause: in a burst of 2,400 requests/s with 140 servers, an instance used up its processor share. While no server had capacity, each decision copied all servers into a growing slice (330 kB per look for capacity), twice with a prompt prefix, and each turn of a waiting request makes up to three such decisions. Change: requests of the gateway do not list the candidates that a filter drops (EligibleOnly), a server that a filter has dropped is not copied again in the same decision, and servers that the usage of the service proves to be full are passed over without a copy (Ineligible). The choice is unchanged: TestOmittedServersDoNotChangeTheChoice compares it for the same random numbers.

--- a/internal/coordination/gateway/admission.go
+++ b/internal/coordination/gateway/admission.go
@@ -55,6 +55,7 @@
 	rank int
 	// usage is the latest usage of the service.
 	usage       admission.Usage
+	recent      *usageAt
 	waited      time.Duration
 	stage       staging.Stage
 	unconfirmed bool
@@ -84,7 +85,8 @@
 	if w.off {
 		return g.decide(route, list, preferUnlimited), 0
 	}
-	usage := g.usage(w.req.service, list, route.Now)
+	w.recent = g.recentUsage(w.req.service, list, route.Now)
+	usage := w.recent.current()
 	if w.usage = usage; usage.Slots <= 0 {
 		return g.decide(route, list, preferUnlimited), 0
 	}
@@ -100,7 +102,7 @@
 	}
 	limit := question.Limit()
 	if !usage.Full(limit) {
-		if chosen = g.decide(w.limit(route, usage, limit), list, preferUnlimited); chosen != nil {
+		if chosen = g.decide(w.limit(route, usage, limit, list), list, preferUnlimited); chosen != nil {
 			return chosen, 0
 		}
 	}
@@ -131,7 +133,7 @@
 // decidePlain chooses for a request that never waits, if possible a server with a free slot.
 func (w *capacityWait) decidePlain(route *routing.Request, list backends.List, preferUnlimited bool) *routing.Candidate {
 	if !w.usage.Full(0) {
-		if chosen := w.gateway.decide(w.limit(route, w.usage, 0), list, preferUnlimited); chosen != nil {
+		if chosen := w.gateway.decide(w.limit(route, w.usage, 0, list), list, preferUnlimited); chosen != nil {
 			return chosen
 		}
 	}
@@ -184,8 +186,9 @@
 }
 
 // limit restricts the request to servers with capacity for a rank.
-func (w *capacityWait) limit(route *routing.Request, usage admission.Usage, rank int) *routing.Request {
+func (w *capacityWait) limit(route *routing.Request, usage admission.Usage, rank int, list backends.List) *routing.Request {
 	limited := *route
+	limited.Ineligible = w.recent.full(list, rank)
 	usage.Woken = w.ticket != nil || w.req.capacity.waited > 0
 	limited.Admit = func(server *backends.Snapshot) string {
 		if load, slots := usage.LoadOf(server, route.Now); load >= admission.Room(rank, slots) || w.gateway.recentlyRefused(server.Server.ID, route.Now) {
@@ -204,7 +207,7 @@
 	}
 	fresh := *route
 	fresh.Exclude = nil
-	return w.gateway.decide(w.limit(&fresh, usage, limit), list, false) == nil
+	return w.gateway.decide(w.limit(&fresh, usage, limit, list), list, false) == nil
 }
 
 func (w *capacityWait) question(route *routing.Request) *admission.Question {
--- a/internal/coordination/gateway/admission_bench_test.go
+++ b/internal/coordination/gateway/admission_bench_test.go
@@ -5,30 +5,48 @@
 	"testing"
 	"time"
 
+	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/state/backends"
 )
 
+// lookWhileFull returns one look for capacity of a request while all servers are full. With refusing,
+// a server states free slots although it has just refused a run, so that the usage of the service
+// does not show that none has room.
+func lookWhileFull(servers int, refusing bool) (look func() (*routing.Candidate, time.Duration)) {
+	f := newPressureFleet(1, map[string]int{"models": servers}, pressureKinds(1), true)
+	g := f.gateways[0]
+	for i, backend := range g.Servers.Serving("models") {
+		load := backends.Load{Running: 12, Waiting: 8, Slots: 12, ReadAt: time.Now()}
+		if refusing && i == 0 {
+			load.Running, load.Waiting = 1, 0
+			g.recordRefusal(backend.Snapshot().Server.ID)
+		}
+		backend.SetLoad(load)
+	}
+	index := g.Current().Index
+	req := &request{route: index.Match("h", "/patient/"), service: "models", index: index, plan: &cascadePlan{fixed: "large", droppedStep: -1}, call: Call{PromptTokens: 100}, prefix: 77}
+	list := backends.List(g.Servers.Serving("models"))
+	wait := g.newCapacityWait(req, staging.Stage{}, false)
+	now := time.Now()
+	return func() (*routing.Candidate, time.Duration) {
+		req.started = now
+		route := g.routingRequest(req, req.index.Service("models"), g.estimate(req), staging.Stage{}, false, now)
+		return wait.decide(route, list, false)
+	}
+}
+
 // BenchmarkAdmissionUnderFullLoad measures one look for capacity while all servers are full.
 func BenchmarkAdmissionUnderFullLoad(b *testing.B) {
 	for _, servers := range []int{140, 600} {
-		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			f := newPressureFleet(1, map[string]int{"models": servers}, pressureKinds(1), true)
-			g := f.gateways[0]
-			for _, backend := range g.Servers.Serving("models") {
-				backend.SetLoad(backends.Load{Running: 12, Waiting: 8, Slots: 12, ReadAt: time.Now()})
-			}
-			index := g.Current().Index
-			req := &request{route: index.Match("h", "/patient/"), service: "models", index: index, started: time.Now(), plan: &cascadePlan{fixed: "large", droppedStep: -1}, call: Call{PromptTokens: 100}, prefix: 77}
-			list := backends.List(g.Servers.Serving("models"))
-			wait := g.newCapacityWait(req, staging.Stage{}, false)
-			now := time.Now()
-			b.ReportAllocs()
-			for b.Loop() {
-				req.started = now
-				route := g.routingRequest(req, req.index.Service("models"), g.estimate(req), staging.Stage{}, false, now)
-				wait.decide(route, list, false)
-			}
-		})
+		for _, refusing := range []bool{false, true} {
+			b.Run(fmt.Sprint(servers, "/refusing=", refusing), func(b *testing.B) {
+				look := lookWhileFull(servers, refusing)
+				b.ReportAllocs()
+				for b.Loop() {
+					look()
+				}
+			})
+		}
 	}
 }
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -223,6 +223,7 @@
 		LongPrompt:    prompt.Long,
 		LongShare:     prompt.LongShare,
 		Expected:      expected,
+		EligibleOnly:  true,
 		DomainOut:     g.DomainOut,
 		Admit: func(server *backends.Snapshot) string {
 			switch {
--- /dev/null
+++ b/internal/coordination/routing/nocapacity_test.go
@@ -0,0 +1,109 @@
+package routing_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"medlarslip/internal/coordination/routing"
+	"medlarslip/internal/coordination/workload"
+	"medlarslip/internal/state/backends"
+)
+
+// noCapacity returns a decision by expected cost over full servers, of which none is eligible.
+func noCapacity(servers int) func() routing.Decision {
+	view := newList(servers)
+	for i := range view {
+		view[i].SetLoad(backends.Load{Running: 12, Waiting: 4, Slots: 12, ReadAt: start})
+	}
+	var estimators workload.Estimators
+	run := workload.Request{Service: "s", Route: "r", Model: "m", Stream: true, Prefill: time.Second, Shared: time.Second / 2, Hint: 40}
+	req := &routing.Request{
+		Target: target, Now: start, Entries: 60, Prefill: time.Second, PrefixPrefill: time.Second / 2, LongPrompt: true, LongShare: 0.5,
+		PrefixHash: 77, Remaining: 4 * time.Second, Expected: estimators.Expect(&run, start), EligibleOnly: true,
+		Admit: func(server *backends.Snapshot) string {
+			if server.Load.Running >= server.Load.Slots {
+				return "full"
+			}
+			return ""
+		},
+	}
+	random := newRandom(1)
+	return func() routing.Decision { return routing.Decide(req, view, random) }
+}
+
+// TestDecisionWithoutCapacityIsBounded guards against decisions that allocate memory for each
+// server while none has capacity: waiting requests make thousands of them per second then.
+func TestDecisionWithoutCapacityIsBounded(t *testing.T) {
+	const runs, maxBytes, maxAllocations = 100, 2048, 4
+	for _, servers := range []int{140, 600} {
+		decide := noCapacity(servers)
+		must.Nil(t, decide().Chosen())
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range runs {
+			decide()
+		}
+		runtime.ReadMemStats(&after)
+		must.LessEq(t, maxBytes, (after.TotalAlloc-before.TotalAlloc)/runs, must.Sprint(servers, "servers"))
+		must.LessEq(t, maxAllocations, (after.Mallocs-before.Mallocs)/runs, must.Sprint(servers, "servers"))
+	}
+}
+
+// TestOmittedServersDoNotChangeTheChoice guards against a decision that chooses another server, or
+// none, where dropped servers are not listed or known to be refused beforehand.
+func TestOmittedServersDoNotChangeTheChoice(t *testing.T) {
+	random := newRandom(7)
+	chosen := 0
+	for _, servers := range []int{1, 12, 40, 140, 1100} {
+		view := newList(servers)
+		for i := range view {
+			view[i].SetLoad(backends.Load{Running: i % 12, Slots: 12, ReadAt: start})
+		}
+		for _, share := range []float64{0, 0.02, 0.3, 1} {
+			admitted := map[string]bool{}
+			for i := range view {
+				admitted[view.Snapshot(i).Server.ID] = random.Float64() < share
+			}
+			for seed := range uint64(30) {
+				run := workload.Request{Service: "s", Route: "r", Model: "m", Stream: true, Prefill: time.Second}
+				req := routing.Request{Target: target, Now: start, Entries: 9, PrefixHash: seed, Prefill: time.Second, LongShare: 0.5, LongPrompt: seed%2 == 0, Admit: func(server *backends.Snapshot) string {
+					if admitted[server.Server.ID] {
+						return ""
+					}
+					return "refused"
+				}}
+				if seed%3 == 0 {
+					req.Expected = new(workload.Estimators).Expect(&run, start)
+				}
+				want := routing.Decide(&req, view, newRandom(seed)).Chosen()
+				req.EligibleOnly = true
+				for _, ineligible := range []func(int) bool{nil, func(i int) bool { return i%3 > 0 && !admitted[view.Snapshot(i).Server.ID] }} {
+					req.Ineligible = ineligible
+					got := routing.Decide(&req, view, newRandom(seed)).Chosen()
+					must.Eq(t, want == nil, got == nil)
+					if want != nil {
+						chosen++
+						must.Eq(t, want.Index, got.Index)
+					}
+				}
+			}
+		}
+	}
+	must.Positive(t, chosen)
+}
+
+func BenchmarkDecideWithoutCapacity(b *testing.B) {
+	for _, servers := range []int{140, 600} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			decide := noCapacity(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				decide()
+			}
+		})
+	}
+}
--- a/internal/coordination/routing/owners_test.go
+++ b/internal/coordination/routing/owners_test.go
@@ -38,8 +38,8 @@
 						view.eligible = append(view.eligible, random.Float64() < share)
 					}
 					req := &Request{Target: "v", PrefixHash: 1 + random.Uint64N(1<<62)}
-					first, second := prefixOwners(req, view)
-					wantFirst, wantSecond := prefixOwnersOfAll(req, view, new(Candidate))
+					first, second := prefixOwners(req, view, new(indexSet))
+					wantFirst, wantSecond := prefixOwnersOfAll(req, view, new(Candidate), new(indexSet))
 					must.Eq(t, [2]int{wantFirst, wantSecond}, [2]int{first, second})
 				}
 			}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -51,6 +51,13 @@
 	// Admit returns the cause for which a server must not receive the request, or
 	// the empty string. nil admits every server.
 	Admit func(server *backends.Snapshot) string
+	// Ineligible reports whether the server of an index of the view is known to be refused by
+	// Admit, without a copy of its state. Such a server is not listed as a candidate. nil means
+	// that none is known.
+	Ineligible func(i int) bool
+	// EligibleOnly leaves the servers that a filter drops out of the candidates of the
+	// decision, whose memory does not grow with the number of servers then.
+	EligibleOnly bool
 }
 
 // View lists the servers of one target at the time of a decision. Only servers
--- a/internal/coordination/routing/sample.go
+++ b/internal/coordination/routing/sample.go
@@ -20,38 +20,79 @@
 	if count == 0 {
 		return nil
 	}
-	candidates := make([]Candidate, 0, min(count, maxCandidates))
-	first, second := prefixOwners(req, view)
-	eligible := 0
-	add := func(i int) {
-		candidates = append(candidates, Candidate{Index: i, Server: view.Snapshot(i), Affine: i == first || i == second})
-		candidate := &candidates[len(candidates)-1]
-		candidate.Dropped = filter(req, candidate)
-		if candidate.Dropped == "" {
-			eligible++
-		}
-	}
+	var dropped indexSet
+	s := search{req: req, view: view, dropped: &dropped}
+	first, second := prefixOwners(req, view, &dropped)
 	for _, i := range []int{first, second} {
 		if i >= 0 {
-			add(i)
+			s.consider(i, true)
 		}
 	}
 	order := newStridePermutation(count, random)
 	for range count {
-		if len(candidates) >= maxCandidates && eligible >= minEligible {
+		if s.considered >= maxCandidates && s.eligible >= minEligible {
 			break
 		}
 		if i := order.next(); i != first && i != second {
-			add(i)
+			s.consider(i, false)
 		}
 	}
-	return candidates
+	return s.candidates
+}
+
+// search collects the candidates of one decision.
+type search struct {
+	req  *Request
+	view View
+	// dropped holds servers that a filter has dropped in this decision.
+	dropped              *indexSet
+	candidates           []Candidate
+	considered, eligible int
+	// candidate is the one that is filtered. Only those that are kept are copied: while no
+	// server has capacity, a decision considers them all.
+	candidate Candidate
+}
+
+func (s *search) consider(i int, affine bool) {
+	s.considered++
+	if s.req.EligibleOnly && s.dropped.has(i) || s.req.ineligible(i) {
+		return
+	}
+	s.candidate = Candidate{Index: i, Server: s.view.Snapshot(i), Affine: affine}
+	s.candidate.Dropped = filter(s.req, &s.candidate)
+	if s.candidate.Dropped == "" {
+		s.eligible++
+	} else if s.req.EligibleOnly {
+		return
+	}
+	if s.candidates == nil {
+		s.candidates = make([]Candidate, 0, min(s.view.Len(), maxCandidates))
+	}
+	s.candidates = append(s.candidates, s.candidate)
+}
+
+func (r *Request) ineligible(i int) bool { return r.Ineligible != nil && r.Ineligible(i) }
+
+// indexSet is a set of the indexes of servers. Indexes from its size on are never in it, so
+// that it needs no memory for each server.
+type indexSet [16]uint64
+
+func (s *indexSet) add(i int) {
+	if at := i / 64; at < len(s) {
+		s[at] |= 1 << (i % 64)
+	}
+}
+
+func (s *indexSet) has(i int) bool {
+	at := i / 64
+	return at < len(s) && s[at]&(1<<(i%64)) != 0
 }
 
 // prefixOwners returns the two servers that own the prompt prefix by rendezvous
 // hashing (Thaler and Ravishankar, 1998) among the eligible servers, or -1 for
-// none. Removing a server moves only the prefixes that it owns.
-func prefixOwners(req *Request, view View) (first, second int) {
+// none. Removing a server moves only the prefixes that it owns. It adds the servers that a
+// filter drops to dropped.
+func prefixOwners(req *Request, view View, dropped *indexSet) (first, second int) {
 	if req.PrefixHash == 0 {
 		return -1, -1
 	}
@@ -65,7 +106,7 @@
 	var candidate Candidate
 	for _, r := range ranked.highest[:ranked.count] {
 		switch {
-		case !canOwnPrefix(req, view, r.index, &candidate):
+		case !canOwnPrefix(req, view, r.index, &candidate, dropped):
 		case first < 0:
 			first = r.index
 		default:
@@ -75,17 +116,17 @@
 	if ranked.count == view.Len() {
 		return first, second
 	}
-	return prefixOwnersOfAll(req, view, &candidate)
+	return prefixOwnersOfAll(req, view, &candidate, dropped)
 }
 
 // prefixOwnersOfAll is prefixOwners for a view of which most servers are not eligible.
-func prefixOwnersOfAll(req *Request, view View, candidate *Candidate) (first, second int) {
+func prefixOwnersOfAll(req *Request, view View, candidate *Candidate, dropped *indexSet) (first, second int) {
 	first, second = -1, -1
 	var highest, next uint64
 	for i := range view.Len() {
 		weight := mix(req.PrefixHash ^ view.Hash(i))
 		// The filters run for few servers, since the weight of most is too low.
-		if (second >= 0 && weight <= next) || !canOwnPrefix(req, view, i, candidate) {
+		if (second >= 0 && weight <= next) || dropped.has(i) || !canOwnPrefix(req, view, i, candidate, dropped) {
 			continue
 		}
 		switch {
@@ -129,13 +170,20 @@
 
 // canOwnPrefix reports whether a server is eligible and assigned to prompts of
 // the request's length. It overwrites the given candidate to avoid an
-// allocation.
-func canOwnPrefix(req *Request, view View, i int, candidate *Candidate) bool {
+// allocation, and adds a server that a filter drops to dropped.
+func canOwnPrefix(req *Request, view View, i int, candidate *Candidate, dropped *indexSet) bool {
+	if req.ineligible(i) {
+		return false
+	}
 	*candidate = Candidate{Index: i, Server: view.Snapshot(i)}
 	if req.Prefill > 0 && !inGroup(req, candidate.Server.Position) {
 		return false
 	}
-	return filter(req, candidate) == ""
+	if filter(req, candidate) != "" {
+		dropped.add(i)
+		return false
+	}
+	return true
 }
 
 // mix spreads the bits of a number (finalizer of SplitMix64: Steele, Lea and
