gateway: judge by the present state whether a server is full

The state is read under the lock of the server now, without a copy (Backend.ReportedPerSlot). TestServersKnownToBeFullHaveNoRoom changes the state after the usage was computed. Further tests: memory of a look for capacity, dropped servers are listed where they are recorded, and servers beyond the set of dropped ones.

--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -57,7 +57,7 @@
 	table.Apply([]backends.Server{{ID: "full", Serves: []string{"s"}}, {ID: "idle", Serves: []string{"s"}}, {ID: "new", Serves: []string{"s"}}})
 	table.Get("full").SetLoad(backends.Load{Running: 12, Waiting: 2, Slots: 12, ReadAt: now})
 	table.Get("idle").SetLoad(backends.Load{Running: 2, Slots: 12, ReadAt: now})
-	usage, _ := UsageOf(backends.List(table.Serving("s")), false, now)
+	usage := UsageOf(backends.List(table.Serving("s")), false, now)
 	must.Eq(t, Usage{Slots: 12, Taken: 16.0 / 24, Servers: 3}, usage)
 	load := func(id string, age time.Duration) float64 {
 		snapshot := table.Get(id).Snapshot()
@@ -73,8 +73,7 @@
 	must.Eq(t, 2, load("new", 0))
 	must.True(t, table.Get("idle").Begin(0))
 	must.Eq(t, 3, load("idle", 0))
-	none, _ := UsageOf(backends.List(table.Serving("s")), false, now.Add(2*MaxReportAge))
-	must.Eq(t, Usage{}, none)
+	must.Eq(t, Usage{}, UsageOf(backends.List(table.Serving("s")), false, now.Add(2*MaxReportAge)))
 }
 
 // TestLoadAtServersOfOneInstance guards against an idle server that counts as full, and a full one that
--- a/internal/coordination/admission/load.go
+++ b/internal/coordination/admission/load.go
@@ -51,16 +51,14 @@
 	Hold    time.Duration
 }
 
-// UsageOf returns the usage of the servers by their recent reports, and the result of LeastOf for
-// each of them. alone is true if no other instance is known that sends requests to them.
-func UsageOf(servers backends.List, alone bool, now time.Time) (Usage, []float64) {
+// UsageOf returns the usage of the servers by their recent reports. alone is true if no other
+// instance is known that sends requests to them.
+func UsageOf(servers backends.List, alone bool, now time.Time) Usage {
 	slots, taken, hold, reports, least := 0.0, 0.0, time.Duration(0), 0, math.Inf(1)
-	each := make([]float64, len(servers))
 	for i := range servers {
 		server := servers.Snapshot(i)
-		each[i] = LeastOf(&server, alone)
 		if !server.Server.Leaving {
-			least = min(least, each[i])
+			least = min(least, server.ReportedPerSlot(alone))
 		}
 		if server.Server.Leaving || server.Load.Slots <= 0 || now.Sub(server.Load.ReadAt) > MaxReportAge {
 			continue
@@ -71,18 +69,9 @@
 		reports++
 	}
 	if reports == 0 {
-		return Usage{}, each
+		return Usage{}
 	}
-	return Usage{Alone: alone, Slots: slots / float64(reports), Taken: taken / slots, Least: min(least, taken/slots), Servers: len(servers), Hold: hold / time.Duration(reports)}, each
-}
-
-// LeastOf returns the requests per slot at a server by its report, of which the estimate as the report
-// ages is not lower unless the mean over the service is; 0 if it has sent none.
-func LeastOf(server *backends.Snapshot, alone bool) float64 {
-	if server.Load.Slots <= 0 || server.Load.ReadAt.IsZero() {
-		return 0
-	}
-	return server.Reported(1, alone) / float64(server.Load.Slots)
+	return Usage{Alone: alone, Slots: slots / float64(reports), Taken: taken / slots, Least: min(least, taken/slots), Servers: len(servers), Hold: hold / time.Duration(reports)}
 }
 
 // Full reports whether no server has room for a request of the rank.
--- a/internal/coordination/gateway/admission.go
+++ b/internal/coordination/gateway/admission.go
@@ -55,7 +55,6 @@
 	rank int
 	// usage is the latest usage of the service.
 	usage       admission.Usage
-	recent      *usageAt
 	waited      time.Duration
 	stage       staging.Stage
 	unconfirmed bool
@@ -85,8 +84,7 @@
 	if w.off {
 		return g.decide(route, list, preferUnlimited), 0
 	}
-	w.recent = g.recentUsage(w.req.service, list, route.Now)
-	usage := w.recent.current()
+	usage := g.usage(w.req.service, list, route.Now)
 	if w.usage = usage; usage.Slots <= 0 {
 		return g.decide(route, list, preferUnlimited), 0
 	}
@@ -188,7 +186,7 @@
 // limit restricts the request to servers with capacity for a rank.
 func (w *capacityWait) limit(route *routing.Request, usage admission.Usage, rank int, list backends.List) *routing.Request {
 	limited := *route
-	limited.Ineligible = w.recent.full(list, rank)
+	limited.Ineligible = knownFull(usage, list, rank)
 	usage.Woken = w.ticket != nil || w.req.capacity.waited > 0
 	limited.Admit = func(server *backends.Snapshot) string {
 		if load, slots := usage.LoadOf(server, route.Now); load >= admission.Room(rank, slots) || w.gateway.recentlyRefused(server.Server.ID, route.Now) {
@@ -199,6 +197,17 @@
 	return &limited
 }
 
+// knownFull returns a function that reports whether the server of an index has no room for a request of
+// the rank by its report, or nil while the mean over the service leaves room: the estimate of a load is
+// between the two.
+func knownFull(usage admission.Usage, list backends.List, rank int) func(i int) bool {
+	room := admission.Room(rank, 1)
+	if usage.Taken < room {
+		return nil
+	}
+	return func(i int) bool { return list[i].ReportedPerSlot(usage.Alone) >= room }
+}
+
 // sharesFailure reports whether a request of the same group and rank that has not been sent to
 // any server yet would not find capacity either.
 func (w *capacityWait) sharesFailure(route *routing.Request, usage admission.Usage, limit int, list backends.List) bool {
--- a/internal/coordination/gateway/admission_bench_test.go
+++ b/internal/coordination/gateway/admission_bench_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"medlarslip/internal/coordination/routing"
 	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/state/backends"
@@ -36,6 +39,23 @@
 	}
 }
 
+// TestMemoryOfALookForCapacity guards against a look for capacity that allocates memory for each full
+// server: the two decisions of a look copy 16 servers at most.
+func TestMemoryOfALookForCapacity(t *testing.T) {
+	const runs, maxBytes = 100, 24 << 10
+	for _, servers := range []int{140, 600} {
+		look := lookWhileFull(servers, true)
+		look()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range runs {
+			look()
+		}
+		runtime.ReadMemStats(&after)
+		must.LessEq(t, maxBytes, (after.TotalAlloc-before.TotalAlloc)/runs, must.Sprint(servers, "servers"))
+	}
+}
+
 // BenchmarkAdmissionUnderFullLoad measures one look for capacity while all servers are full.
 func BenchmarkAdmissionUnderFullLoad(b *testing.B) {
 	for _, servers := range []int{140, 600} {
--- a/internal/coordination/gateway/usage.go
+++ b/internal/coordination/gateway/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,72 +17,22 @@
 // old when they arrive, so that the report in a refusal may state free slots.
 const refusalLifetime = 200 * time.Millisecond
 
-// usageAt is the usage of a service at a time.
 type usageAt struct {
 	usage admission.Usage
 	at    time.Time
-	// least holds Usage.Least, lowered as runs end and reports arrive since.
-	least lowerBound
-	// servers are those of the usage, and each holds the lower bound of admission.LeastOf for
-	// each of them, lowered likewise.
-	servers backends.List
-	each    []lowerBound
+	// least holds the bits of Usage.Least, lowered as runs end and reports arrive since.
+	least atomic.Uint64
 }
 
-// lowerBound is a number that concurrent calls lower.
-type lowerBound struct{ bits atomic.Uint64 }
-
-func (b *lowerBound) load() float64 { return math.Float64frombits(b.bits.Load()) }
-
-func (b *lowerBound) store(value float64) { b.bits.Store(math.Float64bits(value)) }
-
-func (b *lowerBound) lower(value float64) {
+func (u *usageAt) lower(least float64) {
 	for {
-		bits := b.bits.Load()
-		if math.Float64frombits(bits) <= value || b.bits.CompareAndSwap(bits, math.Float64bits(value)) {
+		bits := u.least.Load()
+		if math.Float64frombits(bits) <= least || u.least.CompareAndSwap(bits, math.Float64bits(least)) {
 			return
 		}
 	}
 }
 
-func newUsageAt(list backends.List, alone bool, sharing float64, now time.Time) *usageAt {
-	usage, least := admission.UsageOf(list, alone, now)
-	usage.Sharing = sharing
-	u := &usageAt{usage: usage, at: now, servers: list, each: make([]lowerBound, len(least))}
-	u.least.store(usage.Least)
-	for i := range least {
-		u.each[i].store(least[i])
-	}
-	return u
-}
-
-// lower records that a server may have more room than it had at the time of the usage.
-func (u *usageAt) lower(backend *backends.Backend, least float64) {
-	u.least.lower(least)
-	if i := slices.Index(u.servers, backend); i >= 0 {
-		u.each[i].lower(least)
-	}
-}
-
-// current returns the usage with what is known since.
-func (u *usageAt) current() admission.Usage {
-	usage := u.usage
-	usage.Least = min(usage.Least, u.least.load())
-	return usage
-}
-
-// full returns a function that reports whether the server of an index of the list is known to have
-// no room for a request of the rank, or nil if that is not known of any. The estimate of a load is
-// between its report and the mean over the service, so nothing is known while the mean leaves room.
-func (u *usageAt) full(list backends.List, rank int) func(i int) bool {
-	room := admission.Room(rank, 1)
-	same := len(list) > 0 && len(list) == len(u.servers) && &list[0] == &u.servers[0]
-	if !same || u.usage.Taken < room {
-		return nil
-	}
-	return func(i int) bool { return u.each[i].load() >= room }
-}
-
 // ownPart returns the part of the fleet's requests that this instance receives.
 func (g *Gateway) ownPart() float64 {
 	if g.Accounts == nil {
@@ -113,26 +62,26 @@
 
 // usage returns the recent usage of a service.
 func (g *Gateway) usage(service string, list backends.List, now time.Time) admission.Usage {
-	return g.recentUsage(service, list, now).current()
-}
-
-func (g *Gateway) recentUsage(service string, list backends.List, now time.Time) *usageAt {
 	if found, ok := g.usages.Load(service); ok {
 		if recent := found.(*usageAt); now.Sub(recent.at) < usageLifetime {
-			return recent
+			usage := recent.usage
+			usage.Least = min(usage.Least, math.Float64frombits(recent.least.Load()))
+			return usage
 		}
 	}
-	recent := newUsageAt(list, g.alone(), 1/max(g.ownPart(), 0.01), now)
+	usage := admission.UsageOf(list, g.alone(), now)
+	usage.Sharing = 1 / max(g.ownPart(), 0.01)
+	recent := &usageAt{usage: usage, at: now}
+	recent.least.Store(math.Float64bits(usage.Least))
 	g.usages.Store(service, recent)
-	return recent
+	return usage
 }
 
 // capacityFreed lets the waiting requests of a service look for capacity after a run has ended at a
 // server or its report has arrived.
 func (g *Gateway) capacityFreed(service string, backend *backends.Backend) {
 	if found, ok := g.usages.Load(service); ok {
-		snapshot := backend.Snapshot()
-		found.(*usageAt).lower(backend, admission.LeastOf(&snapshot, g.alone()))
+		found.(*usageAt).lower(backend.ReportedPerSlot(g.alone()))
 	}
 	g.capacity.Notify(service)
 }
--- a/internal/coordination/gateway/usage_test.go
+++ b/internal/coordination/gateway/usage_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestServersKnownToBeFullHaveNoRoom guards against a server with room for a request that is passed
-// over, since the usage of its service takes it for full, also after one of its runs has ended.
+// over as full, also after its state has changed since the usage of its service was computed.
 func TestServersKnownToBeFullHaveNoRoom(t *testing.T) {
 	random, now, known := rand.New(rand.NewPCG(1, 2)), time.Now(), 0
 	for round := range 200 {
@@ -25,12 +25,11 @@
 				backend.Begin(0)
 			}
 		}
-		recent := g.recentUsage("models", list, now)
 		check := func() {
-			usage := recent.current()
+			usage := g.usage("models", list, now)
 			for _, usage.Woken = range []bool{false, true} {
 				for rank := range 4 {
-					full := recent.full(list, rank)
+					full := knownFull(usage, list, rank)
 					for i := range list {
 						server := list.Snapshot(i)
 						if load, slots := usage.LoadOf(&server, now); full != nil && full(i) {
@@ -42,10 +41,17 @@
 			}
 		}
 		check()
+		// The usage stays in force while the state of the servers changes.
 		for _, backend := range list {
-			if snapshot := backend.Snapshot(); snapshot.InFlight > 0 && random.IntN(2) == 0 {
-				backend.Cancel()
-				g.capacityFreed("models", backend)
+			switch snapshot := backend.Snapshot(); random.IntN(4) {
+			case 0:
+				if snapshot.InFlight > 0 {
+					backend.Cancel()
+				}
+			case 1:
+				backend.SetLoad(backends.Load{Running: random.IntN(13), Slots: 12, ReadAt: now})
+			case 2:
+				backend.Begin(0)
 			}
 		}
 		check()
--- a/internal/coordination/routing/nocapacity_test.go
+++ b/internal/coordination/routing/nocapacity_test.go
@@ -96,6 +96,56 @@
 	must.Positive(t, chosen)
 }
 
+// countingView counts the copies of each server.
+type countingView struct {
+	backends.List
+	copies map[int]int
+}
+
+func (v *countingView) Snapshot(i int) backends.Snapshot {
+	v.copies[i]++
+	return v.List.Snapshot(i)
+}
+
+// TestDroppedServersAreListedAndCopiedOnce guards against a decision that does not list the cause for
+// each dropped server where these are recorded, and against one that copies servers repeatedly where
+// they are not.
+func TestDroppedServersAreListedAndCopiedOnce(t *testing.T) {
+	const servers = 140
+	req := routing.Request{Target: target, Now: start, PrefixHash: 3, Admit: func(*backends.Snapshot) string { return "full" }}
+	decision := routing.Decide(&req, newList(servers), newRandom(1))
+	must.Len(t, servers, decision.Candidates)
+	for i := range decision.Candidates {
+		must.Eq(t, "full", decision.Candidates[i].Dropped)
+	}
+	req.EligibleOnly = true
+	view := &countingView{List: newList(servers), copies: map[int]int{}}
+	must.SliceEmpty(t, routing.Decide(&req, view, newRandom(1)).Candidates)
+	must.MapLen(t, servers, view.copies)
+	for _, copies := range view.copies {
+		// The owners of the prompt prefix are sought among eight servers, and then among all.
+		must.LessEq(t, 2, copies)
+	}
+}
+
+// TestServerBeyondTheSetOfDroppedOnesIsFound guards against a server of a large view that counts as
+// dropped since another one was.
+func TestServerBeyondTheSetOfDroppedOnesIsFound(t *testing.T) {
+	view := newList(1100)
+	for _, i := range []int{1023, 1024, 1060, 1099} {
+		id := view.Snapshot(i).Server.ID
+		req := routing.Request{Target: target, Now: start, PrefixHash: 3, EligibleOnly: true, Admit: func(server *backends.Snapshot) string {
+			if server.Server.ID == id {
+				return ""
+			}
+			return "full"
+		}}
+		chosen := routing.Decide(&req, view, newRandom(1)).Chosen()
+		must.NotNil(t, chosen)
+		must.Eq(t, i, chosen.Index)
+	}
+}
+
 func BenchmarkDecideWithoutCapacity(b *testing.B) {
 	for _, servers := range []int{140, 600} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
--- a/internal/coordination/routing/sample.go
+++ b/internal/coordination/routing/sample.go
@@ -48,14 +48,14 @@
 	dropped              *indexSet
 	candidates           []Candidate
 	considered, eligible int
-	// candidate is the one that is filtered. Only those that are kept are copied: while no
-	// server has capacity, a decision considers them all.
+	// candidate is the one that is filtered: a field, so that memory is allocated only for those
+	// that are kept. While no server has capacity, a decision considers them all.
 	candidate Candidate
 }
 
 func (s *search) consider(i int, affine bool) {
 	s.considered++
-	if s.req.EligibleOnly && s.dropped.has(i) || s.req.ineligible(i) {
+	if (s.req.EligibleOnly && s.dropped.has(i)) || s.req.ineligible(i) {
 		return
 	}
 	s.candidate = Candidate{Index: i, Server: s.view.Snapshot(i), Affine: affine}
@@ -173,6 +173,7 @@
 // allocation, and adds a server that a filter drops to dropped.
 func canOwnPrefix(req *Request, view View, i int, candidate *Candidate, dropped *indexSet) bool {
 	if req.ineligible(i) {
+		dropped.add(i)
 		return false
 	}
 	*candidate = Candidate{Index: i, Server: view.Snapshot(i)}
--- a/internal/state/backends/estimate.go
+++ b/internal/state/backends/estimate.go
@@ -29,11 +29,34 @@
 // several times the duration of a short run: the correction would take a server for full that has
 // become idle.
 func (s *Snapshot) Reported(waitingWeight float64, alone bool) float64 {
-	own := s.InFlightAtLoad
+	return reported(&s.Load, s.InFlight, s.InFlightAtLoad, s.PeakAtLoad, waitingWeight, alone)
+}
+
+func reported(load *Load, inFlight, inFlightAtLoad, peakAtLoad int, waitingWeight float64, alone bool) float64 {
+	own := inFlightAtLoad
 	if alone {
-		own = max(own, s.PeakAtLoad)
+		own = max(own, peakAtLoad)
+	}
+	return float64(inFlight) + max(float64(load.Running)+waitingWeight*float64(load.Waiting)-float64(own), 0)
+}
+
+// ReportedPerSlot returns Reported with a waiting weight of 1, per slot of the server; 0 if it has sent
+// no report. The estimate as the report ages is not lower unless the mean over the service is.
+func (s *Snapshot) ReportedPerSlot(alone bool) float64 {
+	if s.Load.Slots <= 0 || s.Load.ReadAt.IsZero() {
+		return 0
+	}
+	return s.Reported(1, alone) / float64(s.Load.Slots)
+}
+
+// ReportedPerSlot is that of a snapshot, without a copy of the state.
+func (b *Backend) ReportedPerSlot(alone bool) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.load.Slots <= 0 || b.load.ReadAt.IsZero() {
+		return 0
 	}
-	return float64(s.InFlight) + max(float64(s.Load.Running)+waitingWeight*float64(s.Load.Waiting)-float64(own), 0)
+	return reported(&b.load, b.inFlight, b.inFlightAtLoad, b.peakAtLoad, 1, alone) / float64(b.load.Slots)
 }
 
 // EstimateLoad estimates the number of requests at the server.
