--- a/internal/coordination/admission/load.go
+++ b/internal/coordination/admission/load.go
@@ -58,7 +58,7 @@
 	for i := range servers {
 		server := servers.Snapshot(i)
 		if !server.Server.Leaving {
-			least = min(least, LeastOf(&server, alone))
+			least = min(least, server.ReportedPerSlot(alone))
 		}
 		if server.Server.Leaving || server.Load.Slots <= 0 || now.Sub(server.Load.ReadAt) > MaxReportAge {
 			continue
@@ -74,15 +74,6 @@
 	return Usage{Alone: alone, Slots: slots / float64(reports), Taken: taken / slots, Least: min(least, taken/slots), Servers: len(servers), Hold: hold / time.Duration(reports)}
 }
 
-// LeastOf returns the requests per slot at a server by its report, of which the estimate as the report
-// ages is not lower unless the mean over the service is; 0 if it has sent none.
-func LeastOf(server *backends.Snapshot, alone bool) float64 {
-	if server.Load.Slots <= 0 || server.Load.ReadAt.IsZero() {
-		return 0
-	}
-	return server.Reported(1, alone) / float64(server.Load.Slots)
-}
-
 // Full reports whether no server has room for a request of the rank.
 func (u Usage) Full(rank int) bool { return u.Least >= Room(rank, 1) }
 
--- a/internal/coordination/gateway/admission.go
+++ b/internal/coordination/gateway/admission.go
@@ -100,7 +100,7 @@
 	}
 	limit := question.Limit()
 	if !usage.Full(limit) {
-		if chosen = g.decide(w.limit(route, usage, limit), list, preferUnlimited); chosen != nil {
+		if chosen = g.decide(w.limit(route, usage, limit, list), list, preferUnlimited); chosen != nil {
 			return chosen, 0
 		}
 	}
@@ -131,7 +131,7 @@
 // decidePlain chooses for a request that never waits, if possible a server with a free slot.
 func (w *capacityWait) decidePlain(route *routing.Request, list backends.List, preferUnlimited bool) *routing.Candidate {
 	if !w.usage.Full(0) {
-		if chosen := w.gateway.decide(w.limit(route, w.usage, 0), list, preferUnlimited); chosen != nil {
+		if chosen := w.gateway.decide(w.limit(route, w.usage, 0, list), list, preferUnlimited); chosen != nil {
 			return chosen
 		}
 	}
@@ -184,8 +184,9 @@
 }
 
 // limit restricts the request to servers with capacity for a rank.
-func (w *capacityWait) limit(route *routing.Request, usage admission.Usage, rank int) *routing.Request {
+func (w *capacityWait) limit(route *routing.Request, usage admission.Usage, rank int, list backends.List) *routing.Request {
 	limited := *route
+	limited.Ineligible = knownFull(usage, list, rank)
 	usage.Woken = w.ticket != nil || w.req.capacity.waited > 0
 	limited.Admit = func(server *backends.Snapshot) string {
 		if load, slots := usage.LoadOf(server, route.Now); load >= admission.Room(rank, slots) || w.gateway.recentlyRefused(server.Server.ID, route.Now) {
@@ -196,6 +197,17 @@
 	return &limited
 }
 
+// knownFull returns a function that reports whether the server of an index has no room for a request of
+// the rank by its report, or nil while the mean over the service leaves room: the estimate of a load is
+// between the two.
+func knownFull(usage admission.Usage, list backends.List, rank int) func(i int) bool {
+	room := admission.Room(rank, 1)
+	if usage.Taken < room {
+		return nil
+	}
+	return func(i int) bool { return list[i].ReportedPerSlot(usage.Alone) >= room }
+}
+
 // sharesFailure reports whether a request of the same group and rank that has not been sent to
 // any server yet would not find capacity either.
 func (w *capacityWait) sharesFailure(route *routing.Request, usage admission.Usage, limit int, list backends.List) bool {
@@ -204,7 +216,7 @@
 	}
 	fresh := *route
 	fresh.Exclude = nil
-	return w.gateway.decide(w.limit(&fresh, usage, limit), list, false) == nil
+	return w.gateway.decide(w.limit(&fresh, usage, limit, list), list, false) == nil
 }
 
 func (w *capacityWait) question(route *routing.Request) *admission.Question {
--- a/internal/coordination/gateway/usage.go
+++ b/internal/coordination/gateway/usage.go
@@ -81,8 +81,7 @@
 // server or its report has arrived.
 func (g *Gateway) capacityFreed(service string, backend *backends.Backend) {
 	if found, ok := g.usages.Load(service); ok {
-		snapshot := backend.Snapshot()
-		found.(*usageAt).lower(admission.LeastOf(&snapshot, g.alone()))
+		found.(*usageAt).lower(backend.ReportedPerSlot(g.alone()))
 	}
 	g.capacity.Notify(service)
 }
