--- a/internal/coordination/claims/machine.go
+++ b/internal/coordination/claims/machine.go
@@ -1,6 +1,10 @@
 package claims
 
-import "medlarslip/internal/protocol/records"
+import (
+	"slices"
+
+	"medlarslip/internal/protocol/records"
+)
 
 // phase is the progress of the call of one key, according to the log alone.
 type phase uint8
@@ -32,6 +36,10 @@
 	// offset when its request arrived. It follows the latest record for which a
 	// caller may have received the outcome not_run.
 	fence int64
+	// freed follows the record that freed a free key. Releases that are read later raise the fence only: they may be
+	// copies, so that they don't prove that no other claim holds the key. released are the claims that they name.
+	freed    int64
+	released []string
 }
 
 // effect is the effect of one start record.
@@ -62,7 +70,7 @@
 		return applyOutcome(s, offset, r, phaseDone), effectNone
 	case records.ClaimForgotten:
 		if s.phase != phaseFree && s.claimID == r.ClaimID {
-			return keyState{fence: offset + 1}, effectNone
+			return freeKey(offset), effectNone
 		}
 	}
 	return s, effectNone
@@ -91,14 +99,20 @@
 func applyReleased(s keyState, offset int64, r *records.Claim) keyState {
 	if s.phase == phaseFree {
 		s.fence = max(s.fence, offset+1)
+		if !slices.Contains(s.released, r.ClaimID) {
+			s.released = append(slices.Clip(s.released), r.ClaimID)
+		}
 		return s
 	}
 	if s.claimID != r.ClaimID || s.phase == phaseDone {
 		return s
 	}
-	return keyState{fence: offset + 1}
+	return freeKey(offset)
 }
 
+// freeKey returns the state of a key that the record at an offset has freed.
+func freeKey(offset int64) keyState { return keyState{fence: offset + 1, freed: offset + 1} }
+
 // applyOutcome records the outcome of the claim that holds the key. A later
 // phase is never replaced by an earlier one.
 func applyOutcome(s keyState, offset int64, r *records.Claim, to phase) keyState {
--- a/internal/coordination/claims/packed.go
+++ b/internal/coordination/claims/packed.go
@@ -22,6 +22,8 @@
 	// textUnit is the largest difference of two sizes that the allocator rounds texts of up to 256 bytes to.
 	textUnit  = 16
 	uuidBytes = 16
+	// releasedSeparator separates the released claims of a free key.
+	releasedSeparator = "\n"
 )
 
 // packedID identifies a key. The name of the account is held once in the process.
@@ -69,7 +71,8 @@
 	packedID
 	// position is the fence of a free key, and the offset of any other one, whose fence has no effect.
 	position int64
-	// readAt is relative to the start of the shard, by the monotonic clock.
+	// readAt is relative to the start of the shard, by the monotonic clock. Of a free key with details it is the
+	// offset freed.
 	readAt      time.Duration
 	details     *details
 	fingerprint [32]byte
@@ -90,7 +93,7 @@
 type details struct {
 	answer *records.KeptAnswer
 	// claimID and fingerprint are texts that do not have the form which this program gives them; the flags say so,
-	// since such a text may be empty.
+	// since such a text may be empty. Of a free key, claimID holds the released claims.
 	claimID, fingerprint           string
 	otherClaimID, otherFingerprint bool
 }
@@ -100,6 +103,10 @@
 	p := packedEntry{packedID: id, position: e.offset, readAt: e.readAt.Sub(start)}
 	if e.phase == phaseFree {
 		p.position = e.fence
+		if len(e.released) > 0 {
+			p.readAt = time.Duration(e.freed)
+			p.details = &details{claimID: strings.Join(e.released, releasedSeparator), otherClaimID: true}
+		}
 		return p
 	}
 	age := max(0, min(e.ageAtRead/time.Second, maxAgeSeconds))
@@ -128,7 +135,11 @@
 		return entry{}
 	}
 	if p.phase() == phaseFree {
-		return entry{keyState: keyState{fence: p.position}}
+		e := entry{keyState: keyState{fence: p.position, freed: p.position}}
+		if p.details != nil {
+			e.freed, e.released = int64(p.readAt), strings.Split(p.details.claimID, releasedSeparator)
+		}
+		return e
 	}
 	e := entry{readAt: start.Add(p.readAt), ageAtRead: time.Duration(p.ageAndPhase>>phaseBits) * time.Second}
 	e.phase, e.offset = p.phase(), p.position
--- a/internal/coordination/claims/shard.go
+++ b/internal/coordination/claims/shard.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -120,13 +121,18 @@
 	return result, true
 }
 
-// mayMissClaim reports whether a record is the outcome of a claim that may be among the missed records, for a key that
-// was free before them. The release that freed the key does not apply to that claim. Without this, the key would stay
-// free, and its call could run a second time: a checkpoint does not cover claims whose outcome follows the gap. Claims
-// and snapshots keep the fence, since it voids those that precede the release.
+// mayMissClaim reports whether a record is the outcome or a snapshot of a claim that may be among the missed records, for
+// a key that was free before them. The release that freed the key does not apply to that claim, and neither do copies of
+// releases that follow the gap. Without this, the key would stay free, and its call could run a second time. Claims keep
+// the fence, since all instances have to agree on those that it voids, also instances of earlier builds.
 func (s *shard) mayMissClaim(known *entry, r *records.Claim) bool {
-	outcome := (r.Step == records.ClaimDone || r.Step == records.ClaimUnknown) && !r.Snapshot
-	return outcome && known.phase == phaseFree && known.fence <= s.gapEnd
+	if known.phase != phaseFree || known.freed >= s.gapEnd || slices.Contains(known.released, r.ClaimID) {
+		return false
+	}
+	if r.Snapshot {
+		return r.Origin >= known.freed && r.Origin < s.gapEnd
+	}
+	return r.Step == records.ClaimDone || r.Step == records.ClaimUnknown
 }
 
 // store replaces the entry of a key. A new claim gets a new readAt and age.
--- a/internal/coordination/claims/table_test.go
+++ b/internal/coordination/claims/table_test.go
@@ -173,6 +173,10 @@
 	p := free.pack(id.pack(), start)
 	must.Eq(t, int64(9), p.unpack(start).fence)
 	must.Eq(t, phaseFree, p.unpack(start).phase)
+	free.freed, free.released = 4, []string{"claim", xid.New().String()}
+	p = free.pack(id.pack(), start)
+	must.Eq(t, fmt.Sprint(free), fmt.Sprint(p.unpack(start)))
+	must.Greater(t, keyBytes, p.bytes())
 }
 
 // TestMemoryOfKeys guards against a machine of 134 MB without room for all keys, and against keys that occupy more than
