claims: do not send a claim that may have been lost to a missed claim

Cause: an instance whose reads fail while its appends work may claim a key whose earlier claim by another instance it has not read. If retention removes that claim and reads recover within the lease, the instance reads its own claim as accepted and sends the call. If they recover later, it releases its claim; the outcome of the missed claim that it read in between was ignored, so that the key counted as free once a checkpoint covered the gap, and the call could run a second time. The same holds for such claims of other instances.

Change: a claim that is accepted after a gap, with a seen offset before its end and no checkpoint that covers it, is in doubt. The instance's own is not sent; its caller is told unknown, and the reader releases it, as any claim that was given up. The key stays held by this claim, and the shard keeps the state without it, to which later records are applied. Records of the log are unchanged.

--- a/internal/coordination/claims/gap_test.go
+++ b/internal/coordination/claims/gap_test.go
@@ -39,6 +39,8 @@
 	}
 	first, second, third := claim("first", 0), claim("second", 2), claim("third", 4)
 	released, secondReleased := as(records.ClaimReleased, first), as(records.ClaimReleased, second)
+	late := claim("late", 2)
+	lateReleased, lateDone := as(records.ClaimReleased, late), as(records.ClaimDone, late)
 	done, unknown, forgotten := as(records.ClaimDone, second), as(records.ClaimUnknown, second), as(records.ClaimForgotten, second)
 	cases := []struct {
 		name          string
@@ -53,6 +55,19 @@
 		{"snapshot of a released claim", list{second}, list{secondReleased, released, snapshot(second, 2)}, "runs"},
 		{"snapshot of a void claim", list{second, secondReleased}, list{released, third, released, snapshot(third, 5)}, "runs"},
 		{"void claim", list{second, secondReleased}, list{released, third}, "runs"},
+		{"answer, then release of a later claim", list{second}, list{late, done, lateReleased}, "answer"},
+		{"release of a later claim, then answer", list{second}, list{late, lateReleased, done}, "answer"},
+		{"lost answer, then release of a later claim", list{second}, list{late, unknown, lateReleased}, "unknown"},
+		{"snapshot, then release of a later claim", list{second}, list{late, snapshot(second, 2), lateReleased}, "unknown"},
+		{"released later claim", list{second, secondReleased}, list{late, lateReleased}, "runs"},
+		{"released later claim after a late snapshot", list{second, secondReleased}, list{late, snapshot(second, 2), secondReleased, lateReleased}, "runs"},
+		{"answer of a later claim", list{second, secondReleased}, list{late, snapshot(second, 2), secondReleased, lateDone}, "answer"},
+		{"released later claim that a missed release voids", list{second, secondReleased}, list{late, claim("next", 5), lateReleased}, "unknown"},
+		{"answer instead of a later claim", list{second}, list{late, done}, "answer"},
+		{"snapshot and release of a later claim, then answer", list{second}, list{late, snapshot(late, 3), lateReleased, done}, "answer"},
+		{"released claim of a writer past the gap", list{second, secondReleased}, list{third, snapshot(second, 2), as(records.ClaimReleased, third)}, "runs"},
+		{"forgotten later claim", list{second, secondReleased}, list{late, as(records.ClaimForgotten, late), third}, "runs"},
+		{"later claim that may run", list{second, secondReleased}, list{late}, "unknown"},
 		{"forgotten", list{second}, list{released, done, forgotten, done}, "runs"},
 	}
 	for _, c := range cases {
@@ -79,37 +94,96 @@
 	})
 }
 
+// TestOwnClaimAfterAGap guards against a call that runs although another claim holds its key: an instance that can append
+// to the log but not read it claims the key, and retention removes the other claim before reads recover, within the lease
+// or after it. It also guards against a claim that is not released then, which would block the key.
+func TestOwnClaimAfterAGap(t *testing.T) {
+	for _, recovery := range []time.Duration{time.Second, 5 * time.Second} {
+		for _, released := range []bool{false, true} {
+			t.Run(fmt.Sprintf("reads recover after %v, other claim released=%v", recovery, released), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					log := logservice.New(0)
+					c, stop := start(log, "entry-1")
+					defer stop()
+					log.OnRead(func(string, int64) logservice.Fault { return logservice.FaultRefuse })
+					time.Sleep(time.Minute)
+					other := records.Claim{Step: records.ClaimStart, ClaimID: "other claim"}
+					appendClaims(t, log, other)
+					through := int64(1)
+					if other.Step = records.ClaimReleased; released {
+						appendClaims(t, log, other)
+						through++
+					}
+					log.Trim(platform.StreamClaims, through)
+					time.AfterFunc(recovery, func() { log.SetOutage(false) })
+					_, refused := c.Do(t.Context(), callOf("key"), func(ctx context.Context) (*records.KeptAnswer, bool, error) {
+						t.Error("the call was sent although another claim may hold the key")
+						return sendAnswered(ctx)
+					})
+					must.NotNil(t, refused)
+					must.Eq(t, refusal.Unknown, refused.Outcome)
+					time.Sleep(time.Minute)
+					all := allClaims(t, log)
+					must.Eq(t, records.ClaimReleased, all[len(all)-1].Step)
+					want := "runs"
+					if !released {
+						other.Step, other.Answer, want = records.ClaimDone, &records.KeptAnswer{Status: 201}, "answer"
+						appendClaims(t, log, other)
+					}
+					appendCheckpoints(t, log, through)
+					time.Sleep(time.Minute)
+					must.Eq(t, want, resultOf(t, c))
+				})
+			})
+		}
+	}
+}
+
 // resultAfterAGap lets an instance read some records of a key, miss some, and read others and the checkpoints that cover
 // the gap. If it is restarted in between, it has read none of the first. It returns the result of a call with the key.
 func resultAfterAGap(t *testing.T, read, missed, after []records.Claim, restarted bool) string {
 	log := logservice.New(0)
-	appendAll := func(list []records.Claim) {
-		for _, r := range list {
-			r.Account, r.Key, r.Fingerprint = callOf("key").Account, "key", callOf("key").Fingerprint
-			raw, err := json.Marshal(r)
-			must.NoError(t, err)
-			_, err = log.Append(t.Context(), platform.StreamClaims, []json.RawMessage{raw})
-			must.NoError(t, err)
-		}
-	}
-	appendAll(read)
+	appendClaims(t, log, read...)
 	c, stop := start(log, "entry-1")
 	defer func() { stop() }()
 	log.OnRead(func(string, int64) logservice.Fault { return logservice.FaultRefuse })
 	time.Sleep(time.Minute)
-	appendAll(missed)
+	appendClaims(t, log, missed...)
 	through := int64(len(read) + len(missed))
 	log.Trim(platform.StreamClaims, through)
-	appendAll(after)
-	for shard := range claims.ShardCount {
-		appendAll([]records.Claim{{Step: records.ClaimCheckpoint, Shard: shard, Through: through}})
-	}
+	appendClaims(t, log, after...)
+	appendCheckpoints(t, log, through)
 	log.SetOutage(false)
 	if restarted {
 		stop()
 		c, stop = start(log, "entry-1")
 	}
 	time.Sleep(time.Minute)
+	return resultOf(t, c)
+}
+
+// appendClaims appends records of the key that these tests call.
+func appendClaims(t *testing.T, log *logservice.Service, list ...records.Claim) {
+	t.Helper()
+	for _, r := range list {
+		r.Account, r.Key, r.Fingerprint = callOf("key").Account, "key", callOf("key").Fingerprint
+		raw, err := json.Marshal(r)
+		must.NoError(t, err)
+		_, err = log.Append(t.Context(), platform.StreamClaims, []json.RawMessage{raw})
+		must.NoError(t, err)
+	}
+}
+
+func appendCheckpoints(t *testing.T, log *logservice.Service, through int64) {
+	t.Helper()
+	for shard := range claims.ShardCount {
+		appendClaims(t, log, records.Claim{Step: records.ClaimCheckpoint, Shard: shard, Through: through})
+	}
+}
+
+// resultOf returns the result of a call with the key at an instance whose gap is covered.
+func resultOf(t *testing.T, c *claims.Coordinator) string {
+	t.Helper()
 	_, refused := c.Do(t.Context(), callOf("new"), sendAnswered)
 	must.Nil(t, refused, must.Sprint(refused)) // the gap is covered
 	result := "answer"
--- a/internal/coordination/claims/machine.go
+++ b/internal/coordination/claims/machine.go
@@ -54,6 +54,9 @@
 	// effectVoid means that the request of the claim arrived before a release
 	// of the key was read.
 	effectVoid
+	// effectDoubtful means that the claim holds the key, unless a missed claim
+	// does. Its call must not be sent.
+	effectDoubtful
 )
 
 // apply returns the state of a key after one more record. Only apply interprets
--- a/internal/coordination/claims/request.go
+++ b/internal/coordination/claims/request.go
@@ -145,6 +145,9 @@
 		return eventAccepted
 	case effectVoid:
 		return eventVoid
+	case effectDoubtful:
+		// The reader of the log releases the claim, as any that takes effect after it was given up.
+		return eventGivenUp
 	default:
 		return eventLost
 	}
--- a/internal/coordination/claims/request_test.go
+++ b/internal/coordination/claims/request_test.go
@@ -70,3 +70,36 @@
 	must.Eq(t, answer, state.answer)
 	must.Eq(t, 20, state.offset)
 }
+
+// TestCheckpointsEndDoubts guards against doubts that stay in memory, and against a claim that is not sent although
+// checkpoints cover the gap before it is read. A snapshot of a missed claim must keep the doubt.
+func TestCheckpointsEndDoubts(t *testing.T) {
+	s := New(nil, nil, nil, "entry-1", "first").shards[0]
+	apply := func(offset int64, r records.Claim) {
+		if r.Step == records.ClaimStart && !r.Snapshot {
+			r.ClaimID, r.Seen = "claim of "+r.Key, 2
+		}
+		s.applyRecord(offset, &r, time.Now())
+	}
+	s.noteGap(5)
+	apply(5, records.Claim{Step: records.ClaimStart, Key: "missed"})
+	apply(6, records.Claim{Step: records.ClaimUnknown, Key: "missed", ClaimID: "missed claim", Snapshot: true, Origin: 2})
+	must.MapEmpty(t, s.doubts)
+	apply(7, records.Claim{Step: records.ClaimStart, Key: "sent"})
+	apply(8, records.Claim{Step: records.ClaimDone, Key: "sent", ClaimID: "claim of sent", Answer: &records.KeptAnswer{Status: 201}})
+	must.MapEmpty(t, s.doubts)
+	apply(9, records.Claim{Step: records.ClaimStart, Key: "snapshot"})
+	apply(10, records.Claim{Step: records.ClaimStart, Key: "snapshot", ClaimID: "missed claim", Snapshot: true, Origin: 3})
+	for i, key := range []string{"before", "after"} {
+		read := s.wait("claim of " + key)
+		apply(int64(11+2*i), records.Claim{Step: records.ClaimStart, Key: key})
+		must.Eq(t, []effect{effectDoubtful, effectAccepted}[i], <-read)
+		must.MapLen(t, 2-i, s.doubts)
+		apply(int64(12+2*i), records.Claim{Step: records.ClaimCheckpoint, Through: 5})
+		must.MapLen(t, 1, s.doubts)
+	}
+	apply(15, records.Claim{Step: records.ClaimReleased, Key: "snapshot", ClaimID: "claim of snapshot"})
+	held, _ := s.get(keyID{key: "snapshot"})
+	must.Eq(t, "missed claim", held.claimID)
+	must.MapEmpty(t, s.doubts)
+}
--- a/internal/coordination/claims/shard.go
+++ b/internal/coordination/claims/shard.go
@@ -46,10 +46,12 @@
 	// coveredBelow is the highest offset below which checkpoints cover every
 	// claim.
 	coveredBelow int64
+	// doubts are the keys whose holder is in doubt since the last missed records.
+	doubts map[keyID]doubt
 }
 
 func newShard(answers *answerMemory, memory *keyMemory) *shard {
-	return &shard{answers: answers, memory: memory, start: time.Now(), waiters: map[string]chan effect{}, unread: map[string]*unreadOutcome{}}
+	return &shard{answers: answers, memory: memory, start: time.Now(), waiters: map[string]chan effect{}, unread: map[string]*unreadOutcome{}, doubts: map[keyID]doubt{}}
 }
 
 // get returns the entry of a key. An outcome of this instance that the log has confirmed counts although it was not
@@ -94,20 +96,25 @@
 }
 
 // applyRecord applies a record and sends its effect to the waiter of its claim.
-// It returns the effect, and whether there was a waiter.
+// It returns the effect, and whether there was a waiter that may use it.
 func (s *shard) applyRecord(offset int64, r *records.Claim, now time.Time) (effect, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Step == records.ClaimCheckpoint {
 		s.coveredBelow = max(s.coveredBelow, r.Through)
+		s.removeCoveredDoubtsLocked()
 		return effectNone, false
 	}
 	id := keyID{account: r.Account, key: r.Key}
 	old := s.keys.get(id.pack()).unpack(s.start)
-	if s.mayMissClaim(&old, r) {
-		old.fence = 0
+	state, result := s.apply(old.keyState, offset, r)
+	if d, ok := s.doubts[id]; ok {
+		state = s.settleLocked(id, d, state, offset, r)
+	}
+	doubtful := result == effectAccepted && s.mayFollowMissedClaim(r)
+	if doubtful {
+		s.doubts[id] = doubt{claimID: r.ClaimID, missed: old.keyState}
 	}
-	state, result := apply(old.keyState, offset, r)
 	s.store(id, old, state, r, now)
 	if old.phase == phaseHeld && (state.phase != phaseHeld || state.claimID != old.claimID) {
 		s.removeUnreadLocked(old.claimID)
@@ -117,15 +124,28 @@
 		return result, false
 	}
 	delete(s.waiters, r.ClaimID)
+	if doubtful {
+		waiter <- effectDoubtful
+		return result, false
+	}
 	waiter <- result
 	return result, true
 }
 
+// apply is the function apply, except that it also takes outcomes and snapshots of claims that may be among the missed
+// records.
+func (s *shard) apply(state keyState, offset int64, r *records.Claim) (keyState, effect) {
+	if s.mayMissClaim(&state, r) {
+		state.fence = 0
+	}
+	return apply(state, offset, r)
+}
+
 // mayMissClaim reports whether a record is the outcome or a snapshot of a claim that may be among the missed records, for
 // a key that was free before them. The release that freed the key does not apply to that claim, and neither do copies of
 // releases that follow the gap. Without this, the key would stay free, and its call could run a second time. Claims keep
 // the fence, since all instances have to agree on those that it voids, also instances of earlier builds.
-func (s *shard) mayMissClaim(known *entry, r *records.Claim) bool {
+func (s *shard) mayMissClaim(known *keyState, r *records.Claim) bool {
 	if known.phase != phaseFree || known.freed >= s.gapEnd || slices.Contains(known.released, r.ClaimID) {
 		return false
 	}
