claims: a release of a claim read before a gap may be a copy

Cause: an instance that has read a claim, and misses its release and the next claim of the key, freed the key on a copy of the release. Outcomes of the missed claim that it had read before the copy were ignored, since the first claim held the key, and those read after it were hidden by the copy. Once a checkpoint covered the gap, the call could run a second time. Found by a trial with random logs.

Change: a claim that was read before the missed records is in doubt too, from the first later record of its key until a checkpoint covers the gap. A claim whose writer had read the claim in doubt and found the key free takes the key; it is in doubt itself if its writer had not read the log past the gap.

--- a/internal/coordination/claims/doubt.go
+++ b/internal/coordination/claims/doubt.go
@@ -6,16 +6,28 @@
 	"medlarslip/internal/protocol/records"
 )
 
-// doubt is the state of a key that a claim took after a gap, unless a missed claim held the key. Until the log shows
-// which of them holds it, the key counts as held by the later claim. Without the other state, the key would be free
-// once that claim is released, and the call of the missed claim could run a second time.
+// doubt is the state of a key that a claim read before or after a gap holds, unless a missed claim does. Until the log
+// shows which of them holds it, the key counts as held by the claim that was read. Without the other state, the key would
+// be free once that claim is released, and the call of the missed claim could run a second time.
 type doubt struct {
-	// claimID is that of the later claim.
+	// claimID is that of the claim that was read.
 	claimID string
-	// missed is the state of the key without the later claim. Its phase is free or held.
+	// missed is the state of the key without that claim. Its phase is free or held.
 	missed keyState
 }
 
+// doubtLocked returns the doubt about the holder of a key, if any. A claim that was read before the missed records may
+// have been released among them, so that a missed claim may hold the key.
+func (s *shard) doubtLocked(id keyID, known *entry) (doubt, bool) {
+	if known.phase == phaseHeld && known.offset < s.gapEnd && s.coveredBelow < s.gapEnd {
+		if _, ok := s.doubts[id]; !ok {
+			return doubt{claimID: known.claimID, missed: freeKey(known.offset)}, true
+		}
+	}
+	d, ok := s.doubts[id]
+	return d, ok
+}
+
 // mayFollowMissedClaim reports whether a claim that was accepted here may have been lost to a missed claim. A writer
 // that had read the log past the gap when the request arrived would have known the missed claim, and checkpoints cover
 // missed claims.
@@ -35,6 +47,10 @@
 	switch {
 	case start && r.Seen > state.offset:
 		state, _ = apply(keyState{}, offset, r)
+		if s.mayFollowMissedClaim(r) {
+			s.doubts[id] = doubt{claimID: r.ClaimID, missed: d.missed}
+			return state
+		}
 	case state.phase == phaseFree:
 		// Earlier builds have the fence of this release too.
 		d.missed.fence = max(d.missed.fence, state.fence)
--- a/internal/coordination/claims/gap_test.go
+++ b/internal/coordination/claims/gap_test.go
@@ -81,8 +81,45 @@
 	}
 }
 
+// TestReleaseOfAClaimReadBeforeAGap guards against a call that runs twice: an instance has read a claim, misses its release
+// and the next claim of the key, and reads a copy of the release after the gap. It also guards against a key that stays
+// blocked after the only release.
+func TestReleaseOfAClaimReadBeforeAGap(t *testing.T) {
+	type list = []records.Claim
+	first := records.Claim{Step: records.ClaimStart, ClaimID: "first claim"}
+	released, second, snapshot, done, late := first, first, first, first, first
+	released.Step = records.ClaimReleased
+	second.ClaimID, second.Seen = "second claim", 2
+	snapshot.ClaimID, snapshot.Snapshot, snapshot.Origin = second.ClaimID, true, 2
+	done.Step, done.ClaimID, done.Answer = records.ClaimDone, second.ClaimID, &records.KeptAnswer{Status: 201}
+	late.ClaimID, late.Seen = "late claim", 2
+	lateReleased, lateSnapshot := late, snapshot
+	lateReleased.Step = records.ClaimReleased
+	lateSnapshot.ClaimID, lateSnapshot.Origin = first.ClaimID, 1
+	cases := []struct {
+		name          string
+		missed, after list
+		want          string
+	}{
+		{"answer, then copy", list{released, second}, list{done, released}, "answer"},
+		{"copy, then answer", list{released, second}, list{released, done}, "answer"},
+		{"snapshot, then copy", list{released, second}, list{snapshot, released}, "unknown"},
+		{"later claim, then copy", list{released, released}, list{late, released}, "unknown"},
+		{"released later claim, then answer", list{released, second}, list{late, released, lateReleased, done}, "answer"},
+		{"only release", list{first}, list{released}, "runs"},
+		{"only release, then late snapshot", list{first}, list{released, lateSnapshot}, "runs"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				must.Eq(t, c.want, resultAfterAGap(t, list{first}, c.missed, c.after, false))
+			})
+		})
+	}
+}
+
 // TestSnapshotFromBeforeAGap guards against a key that is blocked by a late snapshot of a claim whose release this
-// instance read before it missed records.
+// instance read before it missed records, whether the key was free or held by another claim then.
 func TestSnapshotFromBeforeAGap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first := records.Claim{Step: records.ClaimStart, ClaimID: "first claim"}
@@ -91,6 +128,9 @@
 		other.Step, other.ClaimID = records.ClaimReleased, "second claim"
 		late.Snapshot = true
 		must.Eq(t, "runs", resultAfterAGap(t, []records.Claim{first, released}, []records.Claim{other}, []records.Claim{other, late}, false))
+		third, release := first, released
+		third.ClaimID, third.Seen, release.ClaimID = "third claim", 2, "third claim"
+		must.Eq(t, "runs", resultAfterAGap(t, []records.Claim{first, released, third}, []records.Claim{other}, []records.Claim{release, late}, false))
 	})
 }
 
--- a/internal/coordination/claims/request_test.go
+++ b/internal/coordination/claims/request_test.go
@@ -81,6 +81,7 @@
 		}
 		s.applyRecord(offset, &r, time.Now())
 	}
+	apply(0, records.Claim{Step: records.ClaimStart, Key: "held"})
 	s.noteGap(5)
 	apply(5, records.Claim{Step: records.ClaimStart, Key: "missed"})
 	apply(6, records.Claim{Step: records.ClaimUnknown, Key: "missed", ClaimID: "missed claim", Snapshot: true, Origin: 2})
@@ -101,5 +102,6 @@
 	apply(15, records.Claim{Step: records.ClaimReleased, Key: "snapshot", ClaimID: "claim of snapshot"})
 	held, _ := s.get(keyID{key: "snapshot"})
 	must.Eq(t, "missed claim", held.claimID)
+	apply(16, records.Claim{Step: records.ClaimStart, Key: "held", ClaimID: "claim of held", Snapshot: true})
 	must.MapEmpty(t, s.doubts)
 }
--- a/internal/coordination/claims/shard.go
+++ b/internal/coordination/claims/shard.go
@@ -108,7 +108,7 @@
 	id := keyID{account: r.Account, key: r.Key}
 	old := s.keys.get(id.pack()).unpack(s.start)
 	state, result := s.apply(old.keyState, offset, r)
-	if d, ok := s.doubts[id]; ok {
+	if d, ok := s.doubtLocked(id, &old); ok {
 		state = s.settleLocked(id, d, state, offset, r)
 	}
 	doubtful := result == effectAccepted && s.mayFollowMissedClaim(r)
