--- a/internal/coordination/claims/shard.go
+++ b/internal/coordination/claims/shard.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -45,10 +46,12 @@
 	// coveredBelow is the highest offset below which checkpoints cover every
 	// claim.
 	coveredBelow int64
+	// doubts are the keys whose holder is in doubt since the last missed records.
+	doubts map[keyID]doubt
 }
 
 func newShard(answers *answerMemory, memory *keyMemory) *shard {
-	return &shard{answers: answers, memory: memory, start: time.Now(), waiters: map[string]chan effect{}, unread: map[string]*unreadOutcome{}}
+	return &shard{answers: answers, memory: memory, start: time.Now(), waiters: map[string]chan effect{}, unread: map[string]*unreadOutcome{}, doubts: map[keyID]doubt{}}
 }
 
 // get returns the entry of a key. An outcome of this instance that the log has confirmed counts although it was not
@@ -93,20 +96,25 @@
 }
 
 // applyRecord applies a record and sends its effect to the waiter of its claim.
-// It returns the effect, and whether there was a waiter.
+// It returns the effect, and whether there was a waiter that may use it.
 func (s *shard) applyRecord(offset int64, r *records.Claim, now time.Time) (effect, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Step == records.ClaimCheckpoint {
 		s.coveredBelow = max(s.coveredBelow, r.Through)
+		s.removeCoveredDoubtsLocked()
 		return effectNone, false
 	}
 	id := keyID{account: r.Account, key: r.Key}
 	old := s.keys.get(id.pack()).unpack(s.start)
-	if s.mayMissClaim(&old, r) {
-		old.fence = 0
+	state, result := s.apply(old.keyState, offset, r)
+	if d, ok := s.doubtLocked(id, &old); ok {
+		state = s.settleLocked(id, d, state, offset, r)
+	}
+	doubtful := result == effectAccepted && s.mayFollowMissedClaim(r)
+	if doubtful {
+		s.doubts[id] = doubt{claimID: r.ClaimID, missed: old.keyState}
 	}
-	state, result := apply(old.keyState, offset, r)
 	s.store(id, old, state, r, now)
 	if old.phase == phaseHeld && (state.phase != phaseHeld || state.claimID != old.claimID) {
 		s.removeUnreadLocked(old.claimID)
@@ -116,17 +124,35 @@
 		return result, false
 	}
 	delete(s.waiters, r.ClaimID)
+	if doubtful {
+		waiter <- effectDoubtful
+		return result, false
+	}
 	waiter <- result
 	return result, true
 }
 
-// mayMissClaim reports whether a record is the outcome of a claim that may be among the missed records, for a key that
-// was free before them. The release that freed the key does not apply to that claim. Without this, the key would stay
-// free, and its call could run a second time: a checkpoint does not cover claims whose outcome follows the gap. Claims
-// and snapshots keep the fence, since it voids those that precede the release.
-func (s *shard) mayMissClaim(known *entry, r *records.Claim) bool {
-	outcome := (r.Step == records.ClaimDone || r.Step == records.ClaimUnknown) && !r.Snapshot
-	return outcome && known.phase == phaseFree && known.fence <= s.gapEnd
+// apply is the function apply, except that it also takes outcomes and snapshots of claims that may be among the missed
+// records.
+func (s *shard) apply(state keyState, offset int64, r *records.Claim) (keyState, effect) {
+	if s.mayMissClaim(&state, r) {
+		state.fence = 0
+	}
+	return apply(state, offset, r)
+}
+
+// mayMissClaim reports whether a record is the outcome or a snapshot of a claim that may be among the missed records, for
+// a key that was free before them. The release that freed the key does not apply to that claim, and neither do copies of
+// releases that follow the gap. Without this, the key would stay free, and its call could run a second time. Claims keep
+// the fence, since all instances have to agree on those that it voids, also instances of earlier builds.
+func (s *shard) mayMissClaim(known *keyState, r *records.Claim) bool {
+	if known.phase != phaseFree || known.freed >= s.gapEnd || slices.Contains(known.released, r.ClaimID) {
+		return false
+	}
+	if r.Snapshot {
+		return r.Origin >= known.freed && r.Origin < s.gapEnd
+	}
+	return r.Step == records.ClaimDone || r.Step == records.ClaimUnknown
 }
 
 // store replaces the entry of a key. A new claim gets a new readAt and age.
