--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -316,6 +316,6 @@
 func (g *Gateway) logBroken(a *attempt, err error, lastEvent string) {
 	g.Log.WithError(err).WithFields(logrus.Fields{
 		"event": "stream_broken", "request_id": a.req.call.ID, "server": a.server(), "last_event": lastEvent, "shared_parts": a.req.call.sharedParts(),
-		"request_key": a.req.keys.Key.String(),
+		"request_key": a.req.keys.Key.String(), "given_up": a.timedOut.Load(),
 	}).Info("stream of a backend server failed")
 }
--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -33,6 +33,8 @@
 	trusted atomic.Bool
 	// closing is true while the last alert of TLS is written.
 	closing atomic.Bool
+	// received counts the bytes that were read.
+	received atomic.Int64
 }
 
 // alertTimeout is the timeout for the last alert of TLS. The alert either fits into the buffer of the
@@ -74,6 +76,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
 	if n > 0 && !c.trusted.Load() {
 		if full := c.holding.Received(n); full != nil {
 			_ = c.Close()
@@ -83,6 +86,10 @@
 	return n, err
 }
 
+// Received returns the number of bytes that have arrived: those that were read, and those that wait in the
+// kernel.
+func (c *Conn) Received() int64 { return c.received.Load() + int64(max(c.socketQueue(unix.SIOCINQ), 0)) }
+
 // CloseWrite closes the sending side. A server uses it to let the client read a last response.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -144,7 +151,10 @@
 
 // unacknowledged returns the number of bytes that were written and that the client has not
 // acknowledged; -1 if that is unknown.
-func (c *Conn) unacknowledged() int {
+func (c *Conn) unacknowledged() int { return c.socketQueue(unix.SIOCOUTQ) }
+
+// socketQueue returns the number of bytes in a queue of the socket (tcp(7)); -1 if that is unknown.
+func (c *Conn) socketQueue(queue uint) int {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return -1
@@ -153,14 +163,14 @@
 	if err != nil {
 		return -1
 	}
-	left := -1
-	// An error means that the connection is closed; then left stays -1.
+	size := -1
+	// An error means that the connection is closed; then size stays -1.
 	_ = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			left = n
+		if n, err := unix.IoctlGetInt(int(fd), queue); err == nil {
+			size = n
 		}
 	})
-	return left
+	return size
 }
 
 // Close implements net.Conn.
