--- a/internal/transport/clientconn/conn.go
+++ b/internal/transport/clientconn/conn.go
@@ -88,7 +88,9 @@
 
 // Received returns the number of bytes that have arrived: those that were read, and those that wait in the
 // kernel.
-func (c *Conn) Received() int64 { return c.received.Load() + int64(max(c.socketQueue(unix.SIOCINQ), 0)) }
+func (c *Conn) Received() int64 {
+	return c.received.Load() + int64(max(c.socketQueue(unix.SIOCINQ), 0))
+}
 
 // CloseWrite closes the sending side. A server uses it to let the client read a last response.
 func (c *Conn) CloseWrite() error {
