httpconn: a body without a length does not end with a reset during the upload

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the client got the part as the whole.

Cause: the kernel reports a reset once. Bodies above 16 KiB are written by a goroutine of their own, and where its write got ECONNRESET, the next read returned 0 bytes, which is the regular end of such a body. The error of the write decided only about reuse.

Fix: at the end of a body without a length, the error of the upload counts too. If the socket is in CLOSE-WAIT, the server has ended its side in order, and the body is whole at once, however long the rest of the upload takes. Otherwise the write has failed or is about to: EPIPE means that the end came before the reset; any other error of the connection makes the read fail with ErrTruncated.

--- a/internal/transport/httpconn/errors.go
+++ b/internal/transport/httpconn/errors.go
@@ -65,3 +65,6 @@
 // connection, so that a complete body can't be distinguished from a truncated
 // one.
 var ErrUnframed = errors.New("response has neither a length nor chunks; have the server send one of them")
+
+// ErrTruncated reports a response without a length whose connection broke before its end.
+var ErrTruncated = errors.New("connection broke within a response that has no length; have the server send one")
--- a/internal/transport/httpconn/raw.go
+++ b/internal/transport/httpconn/raw.go
@@ -5,8 +5,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,19 +32,14 @@
 type Exchange struct {
 	// Response holds the status and the header. Its body is read by
 	// Exchange.Read.
-	Response    *http.Response
-	pool        *Pool
-	conn        *conn
-	stop        func() bool
-	bodyWritten <-chan error
-	eof         bool
+	Response *http.Response
+	pool     *Pool
+	conn     *conn
+	stop     func() bool
+	upload   *upload
+	eof      bool
 }
 
-// asyncBodyBytes is the size in bytes above which a request body is written
-// concurrently with reading the response, since a server may respond before it
-// has read the whole body.
-const asyncBodyBytes = 16 << 10
-
 // Exchange sends a request to address and returns as soon as the header of
 // the response has arrived. The caller must Close it. The error is a
 // *CallError. The connection is closed when ctx ends.
@@ -182,14 +177,7 @@
 		_, err := c.Write(whole)
 		return err
 	}
-	written := make(chan error, 1)
-	x.bodyWritten = written
-	go func() {
-		// WriteTo changes its receiver.
-		buffers := append(net.Buffers{req.Head}, req.Body...)
-		_, err := buffers.WriteTo(c.Conn)
-		written <- err
-	}()
+	x.upload = startUpload(c.Conn, req)
 	return nil
 }
 
@@ -206,36 +194,45 @@
 	}
 }
 
+// Framed reports whether the response states where its body ends. Otherwise it ends with its
+// connection.
+func (x *Exchange) Framed() bool {
+	return x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+}
+
 // Read reads the next bytes of the body. It returns io.EOF only at its end.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.Response.Body.Read(b)
+	if errors.Is(err, io.EOF) && !x.eof && !x.Framed() {
+		err = x.unframedEnd()
+	}
 	x.eof = errors.Is(err, io.EOF)
 	return n, err
 }
 
+// unframedEnd returns io.EOF if the server has ended its side of the connection in order. The socket
+// reports a reset once, and if the writer of the request has taken that report, a read returns io.EOF, too.
+func (x *Exchange) unframedEnd() error {
+	if x.upload == nil || x.conn.endedInOrder() {
+		return io.EOF
+	}
+	if err := x.upload.wait(); isConnectionError(err) {
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	return io.EOF
+}
+
 // Close ends the call. It keeps the connection only if the response was read to
 // its end, nothing followed it, and the request was written completely.
 func (x *Exchange) Close() {
 	ended := x.stop()
-	if !ended || !x.eof || x.Response.Close || !x.requestWritten() {
+	if !ended || !x.eof || x.Response.Close || !x.upload.complete() {
 		_ = x.conn.Close()
 		return
 	}
 	x.pool.putFor(x.conn, keepAliveTimeout(x.Response.Header))
 }
 
-func (x *Exchange) requestWritten() bool {
-	if x.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-x.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveFraction is the fraction of the advertised timeout for which a
 // connection is reused, so that no request is sent while the server closes it.
 const keepAliveFraction = 0.5
--- a/internal/transport/httpconn/upload_test.go
+++ b/internal/transport/httpconn/upload_test.go
@@ -18,9 +18,9 @@
 	shortUpload = 4 << 10
 )
 
-// upload sends a body of some bytes to a server that sends text and then calls end with its connection. The
+// uploadTo sends a body of some bytes to a server that sends text and then calls end with its connection. The
 // server reads nothing after the header of the request.
-func upload(t *testing.T, size int, text string, end func(c *net.TCPConn)) *Exchange {
+func uploadTo(t *testing.T, size int, text string, end func(c *net.TCPConn)) *Exchange {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -46,8 +46,8 @@
 
 // awaitWriteError waits until the writer of the body has failed, so that it has taken the error of the socket.
 func awaitWriteError(x *Exchange) {
-	for x.bodyWritten != nil && len(x.bodyWritten) == 0 {
-		time.Sleep(time.Millisecond)
+	if x.upload != nil {
+		_ = x.upload.wait()
 	}
 }
 
@@ -63,7 +63,7 @@
 		for _, size := range []int{shortUpload, longUpload} {
 			t.Run(name+" "+strconv.Itoa(size), func(t *testing.T) {
 				read := make(chan struct{})
-				x := upload(t, size, text, func(c *net.TCPConn) {
+				x := uploadTo(t, size, text, func(c *net.TCPConn) {
 					<-read
 					_ = c.SetLinger(0)
 					_ = c.Close()
@@ -99,7 +99,7 @@
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
 			read := make(chan struct{})
-			x := upload(t, longUpload, text, func(c *net.TCPConn) { end(c, read) })
+			x := uploadTo(t, longUpload, text, func(c *net.TCPConn) { end(c, read) })
 			body, err := io.ReadAll(x)
 			close(read)
 			must.NoError(t, err)
@@ -107,7 +107,7 @@
 		})
 	}
 	t.Run("and then resets the connection", func(t *testing.T) {
-		x := upload(t, longUpload, text, func(c *net.TCPConn) {
+		x := uploadTo(t, longUpload, text, func(c *net.TCPConn) {
 			_ = c.CloseWrite()
 			// The client has acknowledged the end before the reset.
 			for unacknowledged(c) > 0 {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -41,8 +41,3 @@
 
 // Header implements gateway.RawResponse.
 func (a response) Header() http.Header { return a.Response.Header }
-
-// Framed implements gateway.RawResponse.
-func (a response) Framed() bool {
-	return a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0
-}
