httpconn: reject responses whose status is none of a response

What callers could see: an engine, plain service, log service or platform service that answered with status 000 was taken to have answered 200, since fasthttp returns 200 for a stored status of 0; 001 to 099, 101 and statuses above 599 were passed on. On the path of raw requests, 000 to 099 counted as interim responses, and what followed as the next response.

Cause: both codecs accept any three digits, net/http a sign too, and the callers relied on them. Class: a response is judged by a codec that is more lenient than the protocol.

Fix: one function decides on protocol version and status for all readers: 100 to 599 without 101, since no request asks for another protocol.

--- a/internal/transport/httpconn/raw.go
+++ b/internal/transport/httpconn/raw.go
@@ -188,7 +188,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		status, err := parseStatus(resp.Proto, resp.Status)
+		if err != nil {
+			return nil, err
+		}
+		if status >= http.StatusOK {
 			return resp, nil
 		}
 	}
