httpconn: reject responses with lines that have no field name

What callers could see: a header with a name that holds a blank was accepted, and passed on by some readers. "Content-Length : 2" was a length for Pool.Do and Pool.Open, and none for Exchange and Fetch, which then read the body up to the end of the connection or to another length.

Cause: net/textproto accepts blanks in names without recognizing them, fasthttp cuts off those before the colon.

Fix: names must be tokens, for all readers. Pool.Do and Pool.Open check the header as it arrived, with its lengths; net/http already rejects lengths that differ.

--- a/internal/transport/httpconn/head.go
+++ b/internal/transport/httpconn/head.go
@@ -14,6 +14,13 @@
 // 15. The codecs accept some of these, and take 000 as an interim response or as 200.
 var errStatus = errors.New("status of the response is invalid; the server may be faulty, or no HTTP/1 server")
 
+// errFieldName reports a line of a header that has no valid name (RFC 9110, section 5.1). The codecs accept
+// names with blanks, and each reads "Content-Length : 2" in its own way.
+var errFieldName = errors.New("header of the response has a line without a valid field name; the server may be faulty")
+
+// errLength reports lengths of a body that contradict each other, or none of which is a number.
+var errLength = errors.New("header of the response states no single length; the server may be faulty")
+
 const maxStatus = 599
 
 // parseStatus returns the status of a response with this protocol version and status line.
@@ -32,7 +39,7 @@
 	return int(status), nil
 }
 
-// skipInterim discards the interim responses before the final one, and checks the status of each.
+// skipInterim discards the interim responses before the final one, and checks the header of each response.
 func (c *conn) skipInterim() error {
 	defer c.limitHeader()()
 	for {
@@ -40,9 +47,7 @@
 		if err != nil {
 			return err
 		}
-		line, _, _ := bytes.Cut(head, []byte("\n"))
-		proto, rest, _ := strings.Cut(strings.TrimSuffix(string(line), "\r"), " ")
-		status, err := parseStatus(proto, rest)
+		status, err := checkHead(head)
 		if err != nil || status >= http.StatusOK {
 			return err
 		}
@@ -52,6 +57,36 @@
 	}
 }
 
+// checkHead returns the status of a header, with its final empty line, and checks its field names and lengths.
+func checkHead(head []byte) (int, error) {
+	line, fields, _ := bytes.Cut(head, []byte("\n"))
+	proto, rest, _ := strings.Cut(strings.TrimSuffix(string(line), "\r"), " ")
+	status, err := parseStatus(proto, rest)
+	if err != nil {
+		return 0, err
+	}
+	length := ""
+	for line := range bytes.Lines(fields) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if len(line) == 0 {
+			break
+		}
+		name, value, found := strings.Cut(string(line), ":")
+		if !found || !isToken(name) {
+			return 0, errFieldName
+		}
+		if !strings.EqualFold(name, "Content-Length") {
+			continue
+		}
+		value = strings.Trim(value, " \t")
+		if _, err := strconv.ParseUint(value, 10, 63); err != nil || (length != "" && length != value) {
+			return 0, errLength
+		}
+		length = value
+	}
+	return status, nil
+}
+
 // peekHead returns the header of the next response, which stays in the reader.
 func peekHead(reader *bufio.Reader) ([]byte, error) {
 	for {
@@ -85,3 +120,14 @@
 	}
 	return 0
 }
+
+// isToken reports whether text is a token (RFC 9110, section 5.6.2), as names of fields are.
+func isToken(text string) bool {
+	for _, c := range []byte(text) {
+		letter, digit := 'a' <= c|0x20 && c|0x20 <= 'z', '0' <= c && c <= '9'
+		if !letter && !digit && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
--- a/internal/transport/httpconn/raw.go
+++ b/internal/transport/httpconn/raw.go
@@ -192,6 +192,11 @@
 		if err != nil {
 			return nil, err
 		}
+		for name := range resp.Header {
+			if !isToken(name) {
+				return nil, errFieldName
+			}
+		}
 		if status >= http.StatusOK {
 			return resp, nil
 		}
