gateway: a silent stream is given up only once its retry is certain

What callers could see: a stream was broken off although its server was sound and would have gone on.

Cause: the watchdog of a silent attempt asked whether the retry budget and the servers allow another attempt, and cancelled it, but reserved neither. Streams that were silent at the same time were all given up for one retry. The same held between the look and the choice of a server. Class: a check and the use of what it found are apart.

Fix: the watchdog charges the budget and, for a stream, begins the call on the server that takes over, before it cancels. Otherwise the attempt goes on, and the watchdog looks again.

--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -67,6 +67,16 @@
 		// No server has received the request yet, so this is no retry.
 		return true
 	}
+	if req.retryReserved {
+		req.retryReserved = false
+		return true
+	}
+	return g.takeRetryBudget(req)
+}
+
+// takeRetryBudget charges the retry budget for another attempt of the request, and reports whether it
+// allows one.
+func (g *Gateway) takeRetryBudget(req *request) bool {
 	return g.budgetOf(req).Take(time.Now(), &g.boundsNow().Budget, retryShare, g.Instances())
 }
 
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -46,6 +46,8 @@
 	keys quarantine.Request
 	// reserved is the server chosen for the next attempt; nil if none is.
 	reserved *selection
+	// retryReserved is true if the retry budget was charged for the next attempt already.
+	retryReserved bool
 	// size is the class of the expected work, SizeUnknown for placement by load. classified is
 	// true once it was determined.
 	size       workload.Size
@@ -93,6 +95,7 @@
 		g.Accounts.Count(req.accountName())
 	}
 	end := g.run(ctx, w, req)
+	req.releaseReserved()
 	g.logEnd(req, &end)
 	if end.refused != nil {
 		end.refused.write(w)
@@ -102,6 +105,14 @@
 	}
 }
 
+// releaseReserved ends the call on a server that was reserved for an attempt that was not needed.
+func (r *request) releaseReserved() {
+	if r.reserved != nil {
+		r.reserved.backend.Cancel()
+		r.reserved = nil
+	}
+}
+
 // withDeadline returns a context that ends when the client disconnects or the
 // deadline passes.
 func (r *request) withDeadline(parent context.Context) (context.Context, context.CancelFunc) {
