--- a/internal/transport/httpconn/invalid_test.go
+++ b/internal/transport/httpconn/invalid_test.go
@@ -101,3 +101,13 @@
 		must.Eq(t, "done", strings.TrimSpace(body))
 	}
 }
+
+// TestChunksInHTTP10AreNoResponse guards against a body that is delivered with the framing of its chunks: HTTP/1.0 has
+// no chunks, so that readers differ (RFC 9112, section 6.1).
+func TestChunksInHTTP10AreNoResponse(t *testing.T) {
+	const chunks = "4\r\ndone\r\n0\r\n\r\n"
+	mustReject(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+	mustReject(t, "HTTP/1.0 200 OK\r\nX-Long: "+strings.Repeat("h", 20<<10)+"\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+	mustReject(t, "HTTP/1.0 200 OK\r\nContent-Length: 14\r\ntransfer-encoding: chunked\r\n\r\n"+chunks)
+	mustReject(t, "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+}
