httpconn: reject chunks in HTTP/1.0

What callers saw: a client of the platform got 200 with the body "8\r\nrecorded\r\n0\r\n\r\n" where the server had sent "recorded" in one chunk, in a response of HTTP/1.0. An append to the store counted as done.

Cause: HTTP/1.0 has no chunks. net/http drops the field Transfer-Encoding there and reads up to the end of the connection, fasthttp reads chunks. Class: a response is judged by a codec that is more lenient than the protocol, which asks to treat its framing as faulty (RFC 9112, section 6.1).

Fix: Exchange and Fetch check the header as it arrived, with the function of Do and Open, since net/http has removed the field from what it returns. The buffer of a connection grows to 64 KiB when a header does not fit, so that headers of the same length as before are accepted. A continued line of a header is now rejected for all readers (RFC 9112, section 5.2, allows that).

Evidence: TestChunksInHTTP10AreNoResponse failed before and passes; with the case added, so did TestInvalidResponseReachesNoClient and TestInvalidResponseOfTheStoreIsNone (appends).

--- a/internal/standin/invalidresponse/invalidresponse.go
+++ b/internal/standin/invalidresponse/invalidresponse.go
@@ -59,6 +59,9 @@
 	for _, line := range []string{"Content-Length: 1", "Content-Length: -1", "Content-Length: 0x2", "Content-Length: 2, 3"} {
 		add("a length beside "+line, func(fields, body string) string { return Whole(fields+line+"\r\n", body) })
 	}
+	add("chunks in HTTP/1.0", func(fields, body string) string {
+		return strings.Replace(chunked(fields, chunk(body)+"0\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1)
+	})
 	for _, size := range []string{"zz", "-4", "+4", "0x4", "", "ffffffffffffffffff"} {
 		add(fmt.Sprintf("chunk size %q", size), func(fields, body string) string {
 			return chunked(fields, chunk(body)+size+"\r\nmore\r\n0\r\n\r\n")
--- a/internal/transport/httpconn/call.go
+++ b/internal/transport/httpconn/call.go
@@ -185,7 +185,7 @@
 func (p *Pool) read(c *conn, resp *fasthttp.Response, head bool) error {
 	stream := resp.StreamBody
 	resp.SkipBody = resp.SkipBody || head
-	if err := c.skipInterim(); err != nil {
+	if err := c.skipInterim(c.peekHead); err != nil {
 		return err
 	}
 	// Only the header is read here: when fasthttp reads the body as well, it no
--- a/internal/transport/httpconn/head.go
+++ b/internal/transport/httpconn/head.go
@@ -21,6 +21,10 @@
 // errLength reports lengths of a body that contradict each other, or none of which is a number.
 var errLength = errors.New("header of the response states no single length; the server may be faulty")
 
+// errEncoding reports a header that states chunks in HTTP/1.0, which has none (RFC 9112, section 6.1). net/http takes
+// the chunks as the body, with their sizes.
+var errEncoding = errors.New("header of the response states chunks in HTTP/1.0; the server may be faulty")
+
 const maxStatus = 599
 
 // parseStatus returns the status of a response with this protocol version and status line.
@@ -39,11 +43,12 @@
 	return int(status), nil
 }
 
-// skipInterim discards the interim responses before the final one, and checks the header of each response.
-func (c *conn) skipInterim() error {
+// skipInterim discards the interim responses before the final one, and checks the header of each response, which
+// peek returns.
+func (c *conn) skipInterim(peek func() ([]byte, error)) error {
 	defer c.limitHeader()()
 	for {
-		head, err := peekHead(c.reader)
+		head, err := peek()
 		if err != nil {
 			return err
 		}
@@ -57,7 +62,8 @@
 	}
 }
 
-// checkHead returns the status of a header, with its final empty line, and checks its field names and lengths.
+// checkHead returns the status of a header, with its final empty line, and checks its field names and what it
+// states of the body.
 func checkHead(head []byte) (int, error) {
 	line, fields, _ := bytes.Cut(head, []byte("\n"))
 	proto, rest, _ := strings.Cut(strings.TrimSuffix(string(line), "\r"), " ")
@@ -75,6 +81,9 @@
 		if !found || !isToken(name) {
 			return 0, errFieldName
 		}
+		if strings.EqualFold(name, "Transfer-Encoding") && proto == "HTTP/1.0" {
+			return 0, errEncoding
+		}
 		if !strings.EqualFold(name, "Content-Length") {
 			continue
 		}
@@ -87,17 +96,17 @@
 	return status, nil
 }
 
-// peekHead returns the header of the next response, which stays in the reader.
-func peekHead(reader *bufio.Reader) ([]byte, error) {
+// peekHead returns the header of the next response, which stays in the reader and must fit into its buffer.
+func (c *conn) peekHead() ([]byte, error) {
 	for {
-		buffered, err := reader.Peek(reader.Buffered())
+		buffered, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
 			return nil, err
 		}
 		if size := headSize(buffered); size > 0 {
 			return buffered[:size], nil
 		}
-		switch _, err := reader.Peek(len(buffered) + 1); {
+		switch _, err := c.reader.Peek(len(buffered) + 1); {
 		case errors.Is(err, bufio.ErrBufferFull):
 			return nil, errHeaderTooLong
 		case errors.Is(err, io.EOF):
@@ -108,6 +117,20 @@
 	}
 }
 
+// peekLongHead is peekHead for a header of up to maxHeaderBytes. The buffer grows if it is too small.
+func (c *conn) peekLongHead() ([]byte, error) {
+	head, err := c.peekHead()
+	if !errors.Is(err, errHeaderTooLong) || c.reader.Size() >= maxHeaderBytes {
+		return head, err
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c), maxHeaderBytes)
+	return c.peekHead()
+}
+
 // headSize returns the size of the header that the text begins with, with its final empty line; 0 if the
 // text does not hold all of it.
 func headSize(text []byte) int {
--- a/internal/transport/httpconn/raw.go
+++ b/internal/transport/httpconn/raw.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -148,11 +147,13 @@
 	if err := x.write(req); err != nil {
 		return &CallError{Phase: PhaseRequest, Address: c.address, Err: err, stale: c.usedBefore}
 	}
-	defer c.limitHeader()()
 	if _, err := c.reader.Peek(1); err != nil {
 		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err, stale: c.usedBefore && !isTimeout(err)}
 	}
-	resp, err := readHeader(c.reader, req.Method)
+	if err := c.skipInterim(c.peekLongHead); err != nil {
+		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err}
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 	if err != nil {
 		return &CallError{Phase: PhaseResponse, Address: c.address, Err: err}
 	}
@@ -181,28 +182,6 @@
 	return nil
 }
 
-// readHeader reads the header of the final response and skips interim responses.
-func readHeader(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		status, err := parseStatus(resp.Proto, resp.Status)
-		if err != nil {
-			return nil, err
-		}
-		for name := range resp.Header {
-			if !isToken(name) {
-				return nil, errFieldName
-			}
-		}
-		if status >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
-
 // Framed reports whether the response states where its body ends. Otherwise it ends with its
 // connection.
 func (x *Exchange) Framed() bool {
