--- a/internal/transport/httpconn/invalid_test.go
+++ b/internal/transport/httpconn/invalid_test.go
@@ -111,3 +111,13 @@
 	mustReject(t, "HTTP/1.0 200 OK\r\nContent-Length: 14\r\ntransfer-encoding: chunked\r\n\r\n"+chunks)
 	mustReject(t, "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
 }
+
+// TestChunksBesideALengthAreNoResponse guards against a body whose header states two ends of it, which may be that of
+// another response (RFC 9112, section 6.3).
+func TestChunksBesideALengthAreNoResponse(t *testing.T) {
+	const chunks = "4\r\ndone\r\n0\r\n\r\n"
+	for _, length := range []string{"0", "4", "14"} {
+		mustReject(t, "HTTP/1.1 200 OK\r\nContent-Length: "+length+"\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+		mustReject(t, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: "+length+"\r\n\r\n"+chunks)
+	}
+}
