httpconn: reject a length beside chunks

What callers saw: a response with a length and chunks was accepted by all readers, whatever the length was.

Cause: both codecs ignore the length. Class: a response is judged by a codec that is more lenient than the protocol.

Fix: the check of a header rejects it, for all readers.

Evidence: TestChunksBesideALengthAreNoResponse failed before and passes; with the two cases added, so did the tests of invalid responses of all places.

--- a/internal/standin/invalidresponse/invalidresponse.go
+++ b/internal/standin/invalidresponse/invalidresponse.go
@@ -59,6 +59,13 @@
 	for _, line := range []string{"Content-Length: 1", "Content-Length: -1", "Content-Length: 0x2", "Content-Length: 2, 3"} {
 		add("a length beside "+line, func(fields, body string) string { return Whole(fields+line+"\r\n", body) })
 	}
+	add("chunks beside a length", func(fields, body string) string {
+		return chunked(fields+"Content-Length: 2\r\n", chunk(body)+"0\r\n\r\n")
+	})
+	add("chunks beside their length", func(fields, body string) string {
+		chunks := chunk(body) + "0\r\n\r\n"
+		return chunked(fields+fmt.Sprintf("Content-Length: %d\r\n", len(chunks)), chunks)
+	})
 	add("chunks in HTTP/1.0", func(fields, body string) string {
 		return strings.Replace(chunked(fields, chunk(body)+"0\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1)
 	})
--- a/internal/transport/httpconn/head.go
+++ b/internal/transport/httpconn/head.go
@@ -18,7 +18,8 @@
 // names with blanks, and each reads "Content-Length : 2" in its own way.
 var errFieldName = errors.New("header of the response has a line without a valid field name; the server may be faulty")
 
-// errLength reports lengths of a body that contradict each other, or none of which is a number.
+// errLength reports lengths of a body that contradict each other, or none of which is a number, and a length beside
+// chunks, which may be that of another response (RFC 9112, section 6.3).
 var errLength = errors.New("header of the response states no single length; the server may be faulty")
 
 // errEncoding reports a header that states chunks in HTTP/1.0, which has none (RFC 9112, section 6.1). net/http takes
@@ -71,7 +72,7 @@
 	if err != nil {
 		return 0, err
 	}
-	length := ""
+	length, encoded := "", false
 	for line := range bytes.Lines(fields) {
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 		if len(line) == 0 {
@@ -81,8 +82,8 @@
 		if !found || !isToken(name) {
 			return 0, errFieldName
 		}
-		if strings.EqualFold(name, "Transfer-Encoding") && proto == "HTTP/1.0" {
-			return 0, errEncoding
+		if strings.EqualFold(name, "Transfer-Encoding") {
+			encoded = true
 		}
 		if !strings.EqualFold(name, "Content-Length") {
 			continue
@@ -93,6 +94,12 @@
 		}
 		length = value
 	}
+	switch {
+	case encoded && proto == "HTTP/1.0":
+		return 0, errEncoding
+	case encoded && length != "":
+		return 0, errLength
+	}
 	return status, nil
 }
 
