--- a/internal/transport/httpconn/header_test.go
+++ b/internal/transport/httpconn/header_test.go
@@ -90,6 +90,20 @@
 	must.Eq(t, body, string(got))
 }
 
+// TestConnectionIsReusedAfterALongHeader guards against bytes that are lost or read twice when the buffer of a
+// connection has grown.
+func TestConnectionIsReusedAfterALongHeader(t *testing.T) {
+	server := startServer(t, respondWith("HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("h", 20<<10)+"\r\nContent-Length: 4\r\n\r\nkeep"))
+	pool := newPool(t)
+	req := httpconn.RawRequest{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: s\r\n\r\n")}
+	for range 3 {
+		fetched, err := pool.Fetch(t.Context(), server.address(), req, httpconn.ReuseIdle, 100)
+		must.NoError(t, err)
+		must.Eq(t, "keep", string(fetched.Body))
+	}
+	must.Eq(t, 1, server.accepted.Load())
+}
+
 // TestHeaderThatIsCutIsNoResponse guards against a response with an empty or a short body
 // where the server stopped within the header, at any byte.
 func TestHeaderThatIsCutIsNoResponse(t *testing.T) {
