gateway: a watchdog reserves the server also before the header, without its lock

Found by the review. Before the header of a response, the watchdog reserved the budget but no server: 2 to 6 of 12 requests got 502, and 2 to 8 of 12 resumed streams were cut, for a server that admits only one of them, though their own servers answered later. The choice of the server ran with the lock of the watchdog held, for which the end of a stream waits, and progress meanwhile was ignored.

Fix: each watchdog begins the call on the server that takes over, outside of its lock, and cancels it if the attempt has ended or made progress. That choice does not wait for capacity and stays within the stage of the request, so an attempt is given up only for a server that may run the request now.

--- a/internal/coordination/gateway/admission.go
+++ b/internal/coordination/gateway/admission.go
@@ -26,6 +26,9 @@
 	keptSince time.Time
 	// resumed is true while a server is sought to resume a stream.
 	resumed bool
+	// probe is true for the choice of a server that takes over from another one, which does not wait and counts
+	// nothing.
+	probe bool
 	// givenUp is true once a run was given up for lack of capacity. refusedFor is the cause.
 	givenUp    bool
 	refusedFor string
@@ -162,6 +165,9 @@
 func (w *capacityWait) giveUp(usage admission.Usage, cause string) {
 	state := &w.req.capacity
 	state.givenUp, state.refusedFor = true, cause
+	if state.probe {
+		return
+	}
 	if state.keptSince.IsZero() {
 		state.retryAfter = w.gateway.retryAfter(w.req, usage)
 	}
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -179,7 +179,7 @@
 	events := newEventReader(a.response)
 	events.memory = s.req.memory
 	defer events.release()
-	silence := a.watch(s.silenceTimeout(), staging.Stage{Only: a.version()}, true)
+	silence := a.watch(s.silenceTimeout(), staging.Stage{Only: a.version()}, a.version())
 	defer silence.stop()
 	for received := 0; ; received++ {
 		ev, err := events.next()
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -89,13 +89,13 @@
 	}
 	ctx, cancel := req.withDeadline(r.Context())
 	defer cancel()
+	defer req.releaseReserved()
 	g.Staging.BeginRequest(req.service, req.session)
 	defer g.Staging.EndRequest(req.service, req.session)
 	if g.Accounts != nil {
 		g.Accounts.Count(req.accountName())
 	}
 	end := g.run(ctx, w, req)
-	req.releaseReserved()
 	g.logEnd(req, &end)
 	if end.refused != nil {
 		end.refused.write(w)
--- a/internal/coordination/gateway/watchdog.go
+++ b/internal/coordination/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"medlarslip/internal/coordination/routing"
@@ -15,7 +16,7 @@
 const failoverInterval = minHeaderTimeout / 2
 
 // watchdog cancels an attempt whose server sends nothing for too long, but only
-// if another server could take over: a late response is better than none.
+// if another server takes over: a late response is better than none.
 type watchdog struct {
 	attempt *attempt
 	wait    time.Duration
@@ -23,26 +24,31 @@
 	original *request
 	req      request
 	stage    staging.Stage
-	// reservesServer is true for a stream. Its client may have received a part of it and can't be told that
-	// the rest is lost, so the attempt goes on unless the server that takes over is reserved.
-	reservesServer bool
+	// version is the only one whose servers could take over; "" means those of the stage.
+	version string
+	// progress counts the restarts.
+	progress atomic.Int64
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-// watch starts a watchdog with the timeout wait. Only servers within the stage
-// could take over.
-func (a *attempt) watch(wait time.Duration, stage staging.Stage, reservesServer bool) *watchdog {
-	w := &watchdog{attempt: a, wait: wait, original: a.req, req: *a.req, stage: stage, reservesServer: reservesServer}
+// watch starts a watchdog with the timeout wait. Only servers within the stage, and of
+// a version other than "", could take over.
+func (a *attempt) watch(wait time.Duration, stage staging.Stage, version string) *watchdog {
+	w := &watchdog{attempt: a, wait: wait, original: a.req, req: *a.req, stage: stage, version: version}
+	w.req.capacity.probe = true
 	w.timer = time.AfterFunc(noTimeout, w.fire)
 	w.restart()
 	return w
 }
 
 // restart restarts the timeout, because the server has made progress.
-func (w *watchdog) restart() { w.timer.Reset(w.wait) }
+func (w *watchdog) restart() {
+	w.progress.Add(1)
+	w.timer.Reset(w.wait)
+}
 
 // stop stops the watchdog. It does not cancel the attempt afterwards.
 func (w *watchdog) stop() {
@@ -53,43 +59,34 @@
 }
 
 func (w *watchdog) fire() {
+	progress := w.progress.Load()
+	next := w.reserveServer()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.stopped:
-	case w.reserveRetry():
+	case next != nil && !w.stopped && w.progress.Load() == progress && w.attempt.gateway.takeRetryBudget(&w.req):
+		// The goroutine of the request does not use these fields before stop.
+		w.original.retryReserved, w.original.reserved = true, next
 		w.attempt.giveUp()
-	default:
+		return
+	case next != nil:
+		next.backend.Cancel()
+	}
+	if !w.stopped && w.progress.Load() == progress {
 		w.timer.Reset(failoverInterval)
 	}
 }
 
-// reserveRetry charges the retry budget for another attempt of the request and, for a stream, begins a call
-// on the server that takes over. It reports whether it did so. Attempts of other requests could otherwise
-// use up either before the retry.
-func (w *watchdog) reserveRetry() bool {
+// reserveServer begins a call on the server that takes over, or returns nil. Requests that look at the same
+// server at the same time can't all have it, and those that don't get it must go on.
+func (w *watchdog) reserveServer() *selection {
 	g := w.attempt.gateway
-	if !g.canTryAnother(&w.req, w.stage) {
-		return false
-	}
-	var next *selection
-	if w.reservesServer {
-		if g.Quarantine.BlockedMeanwhile(w.req.keys) != nil {
-			return false
-		}
-		if next = g.choose(w.attempt.ctx, &w.req, w.stage.Only); next == nil {
-			return false
-		}
-	}
-	if !g.takeRetryBudget(&w.req) {
-		if next != nil {
-			next.backend.Cancel()
-		}
-		return false
+	if !g.canTryAnother(&w.req, w.stage) || g.Quarantine.BlockedMeanwhile(w.req.keys) != nil {
+		return nil
 	}
-	// stop guards the request: its goroutine does not use these fields before.
-	w.original.retryReserved, w.original.reserved = true, next
-	return true
+	// The choice changes its request.
+	req := w.req
+	return g.choose(w.attempt.ctx, &req, w.version)
 }
 
 // canTryAnother reports whether the retry budget and the state of the servers
