gateway: a request that a planned stop ends gets a final response

What callers saw: at the end of a planned stop the connection of a request whose server had not answered yet was closed without a response (LOST), although the process still ran.

Fix: it gets 502, or 503 if no server can have begun it. A stream that has begun still ends with its connection.

TestCutRequestIsAnsweredAndLogged, which checked only the log before, failed on the code before (closed) and passes.

--- a/internal/coordination/gateway/refuse.go
+++ b/internal/coordination/gateway/refuse.go
@@ -43,6 +43,7 @@
 	refuseLate            = refusal{http.StatusServiceUnavailable, "no_time_left", "not run: the time for the answer is over; allow more time", retrySoon}
 	refuseNoCapacity      = refusal{http.StatusServiceUnavailable, "no_capacity", "not run: the servers have no capacity for the request in time; come back after the given time", retrySoon}
 	refuseLost            = refusal{http.StatusBadGateway, "answer_lost", "the request may have run, and its answer is lost; check before it is repeated", 0}
+	refuseStopped         = refusal{http.StatusBadGateway, "cut_by_stop", "the request may have run, and this instance stops before its answer; check before it is repeated", 0}
 	refuseDropped         = refusal{http.StatusBadGateway, "answer_dropped", "the request may have run, and this instance has no memory for its answer; check before it is repeated", 0}
 	refuseStronger        = refusal{http.StatusBadGateway, "stronger_run_refused", "the request ran on a smaller model, whose weak answer was dropped, and no server ran a stronger one; it may be sent again", retrySoon}
 	refuseTimeout         = refusal{http.StatusGatewayTimeout, "timeout", "the request may have run, and its answer is late; check before it is repeated", 0}
--- a/internal/coordination/gateway/run.go
+++ b/internal/coordination/gateway/run.go
@@ -115,11 +115,15 @@
 // giveUp ends a request without a response of a server. notRun is the refusal
 // to use if no server can have begun to process the request.
 func (e *end) giveUp(ctx context.Context, req *request, notRun *refusal) end {
-	expired := errors.Is(context.Cause(ctx), errRequestExpired)
+	expired, stopped := errors.Is(context.Cause(ctx), errRequestExpired), errors.Is(context.Cause(ctx), errStopped)
 	switch {
-	case ctx.Err() != nil && !expired:
+	case ctx.Err() != nil && !expired && !stopped:
 		e.outcome, e.abort = cancelOutcome(ctx), true
 		return *e
+	case stopped && !req.mayHaveRun:
+		e.refused = &refuseLeaving
+	case stopped:
+		e.refused = &refuseStopped
 	case !req.mayHaveRun && expired:
 		e.refused = &refuseLate
 	case !req.mayHaveRun:
--- a/internal/coordination/gateway/shutdown.go
+++ b/internal/coordination/gateway/shutdown.go
@@ -46,8 +46,8 @@
 
 var errStopped = errors.New("instance stopped before the request was complete")
 
-// CancelInFlight cancels the requests in flight, so that their outcome is
-// logged before the process exits.
+// CancelInFlight cancels the requests in flight, so that their clients get a final
+// response, and their outcome is logged, before the process exits.
 func (g *Gateway) CancelInFlight() { g.shutdown.cancel(errStopped) }
 
 // cancelOutcome returns the outcome of a request whose context was cancelled
