peers: tests read the bytes of a member under the lock of the network

The race detector reported a data race in TestWatchingFitsItsTraffic, once, in the first run of all tests of peers with GOMAXPROCS=1: the test read conn.bytes without the lock under which the network counts. The same read stood in TestLargeFleetKeepsTheRateLimitOfAServer. The bounds are as before.

--- a/internal/coordination/peers/limit_test.go
+++ b/internal/coordination/peers/limit_test.go
@@ -288,7 +288,7 @@
 		stop := s.load(f, f.members, perInstance(demand, size))
 		time.Sleep(4 * time.Second)
 		median, busiest := f.traffic()
-		f.t.Logf("median %d B/s, maximum %d B/s, coordinator %d B/s", median, busiest, coordinatorOf(f).conn.bytes/5)
+		f.t.Logf("median %d B/s, maximum %d B/s, coordinator %d B/s", median, busiest, f.bytes()[slices.Index(f.members, coordinatorOf(f))]/5)
 		must.LessEq(f.t, maxControlBytes, median)
 		must.GreaterEq(f.t, 0.7*limit, s.rate(5*time.Second))
 		stop()
--- a/internal/coordination/peers/suspicion_test.go
+++ b/internal/coordination/peers/suspicion_test.go
@@ -266,8 +266,8 @@
 				windowStart := time.Now().Truncate(2 * detectionLimit).Add(2 * detectionLimit)
 				time.Sleep(time.Until(windowStart) + 5*time.Second)
 				f.traffic()
-				for _, m := range f.members {
-					bytes[watches] = append(bytes[watches], m.conn.bytes/5)
+				for _, sent := range f.bytes() {
+					bytes[watches] = append(bytes[watches], sent/5)
 				}
 			}))
 		}
