Tests of invalid responses wait for their connections, one case after the other

Traced: the machine was too busy to connect in 1 s; no invalid response was accepted. The pools of these tests have a connect timeout of a minute now, and the cases of a test run one after the other. What each case checks is as before.

--- a/internal/standin/invalidresponse/invalidresponse.go
+++ b/internal/standin/invalidresponse/invalidresponse.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"medlarslip/internal/transport/httpconn"
 )
 
 // Case is a response that is invalid or incomplete.
@@ -154,6 +156,16 @@
 	_, _ = io.Copy(io.Discard, c)
 }
 
+// connectTimeout is not reached on a busy machine.
+const connectTimeout = time.Minute
+
+// NewPool returns a pool for calls of Check: a connection that is not opened in time is not an invalid response.
+func NewPool() *httpconn.Pool {
+	opts := httpconn.DefaultOptions()
+	opts.ConnectTimeout = connectTimeout
+	return httpconn.NewPool(opts)
+}
+
 // Check runs a call against a server that sends a valid response, with these header lines and this body, and then
 // against one for each case. The call must succeed once, and fail with an error that typed accepts otherwise. If
 // uploads is set, the servers of the cases send them also before they have read the body of the request.
@@ -168,7 +180,6 @@
 				continue
 			}
 			t.Run(fmt.Sprintf("%s/early=%v", c.Name, early), func(t *testing.T) {
-				t.Parallel()
 				address := Serve(t, func(*http.Request) Reply {
 					return Reply{Text: c.Text(fields, body), Early: early, Reset: c.Reset}
 				})
--- a/internal/transport/console/invalid_test.go
+++ b/internal/transport/console/invalid_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"medlarslip/internal/standin/invalidresponse"
-	"medlarslip/internal/transport/httpconn"
 )
 
 // TestInvalidResponseIsNoStatus guards against a status or metrics that are shown from an invalid response.
@@ -23,7 +22,7 @@
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
 			invalidresponse.Check(t, false, "", `{}`, func(address string) error {
-				pool := httpconn.NewPool(httpconn.DefaultOptions())
+				pool := invalidresponse.NewPool()
 				defer pool.Close()
 				return call(NewStatusClient(pool), address)
 			}, func(err error) bool { return errors.Is(err, errNoStatus) })
--- a/internal/transport/engine/invalid_test.go
+++ b/internal/transport/engine/invalid_test.go
@@ -10,7 +10,6 @@
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/standin/invalidresponse"
 	"medlarslip/internal/transport/engine"
-	"medlarslip/internal/transport/httpconn"
 )
 
 // TestInvalidResponseIsNoAnswer guards against an invalid response of an engine that a caller gets as a complete
@@ -39,7 +38,7 @@
 		for _, size := range []int{4 << 10, 8 << 20} {
 			t.Run(fmt.Sprint(tc.name, size), func(t *testing.T) {
 				invalidresponse.Check(t, true, "X-Request-Id: request-1\r\n", tc.body, func(address string) error {
-					pool := httpconn.NewPool(httpconn.DefaultOptions())
+					pool := invalidresponse.NewPool()
 					defer pool.Close()
 					call := newCall(address)
 					call.Body["user"] = json.RawMessage(`"` + strings.Repeat("a", size) + `"`)
--- a/internal/transport/enginemetrics/invalid_test.go
+++ b/internal/transport/enginemetrics/invalid_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"medlarslip/internal/standin/invalidresponse"
-	"medlarslip/internal/transport/httpconn"
 )
 
 // TestInvalidResponseIsNoLoad guards against a server that counts as healthy, or a load that is taken from an
@@ -21,7 +20,7 @@
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
 			invalidresponse.Check(t, false, "", nameRunning+" 3\n", func(address string) error {
-				pool := httpconn.NewPool(httpconn.DefaultOptions())
+				pool := invalidresponse.NewPool()
 				defer pool.Close()
 				return call(New(pool), address)
 			}, func(err error) bool { return errors.Is(err, ErrUnreachable) })
--- a/internal/transport/logclient/invalid_test.go
+++ b/internal/transport/logclient/invalid_test.go
@@ -10,7 +10,6 @@
 
 	"medlarslip/internal/coordination/eventlog"
 	"medlarslip/internal/standin/invalidresponse"
-	"medlarslip/internal/transport/httpconn"
 	"medlarslip/internal/transport/logclient"
 )
 
@@ -19,7 +18,7 @@
 	for _, size := range []int{4 << 10, 8 << 20} {
 		record := json.RawMessage(`"` + strings.Repeat("a", size) + `"`)
 		invalidresponse.Check(t, true, "", `{"first_offset":7}`, func(address string) error {
-			pool := httpconn.NewPool(httpconn.DefaultOptions())
+			pool := invalidresponse.NewPool()
 			defer pool.Close()
 			_, err := logclient.New(address, pool).Append(t.Context(), stream, []json.RawMessage{record})
 			return err
@@ -30,7 +29,7 @@
 // TestInvalidResponseIsNoPage guards against records that are read from an invalid response.
 func TestInvalidResponseIsNoPage(t *testing.T) {
 	invalidresponse.Check(t, false, "", `{"records":[]}`, func(address string) error {
-		pool := httpconn.NewPool(httpconn.DefaultOptions())
+		pool := invalidresponse.NewPool()
 		defer pool.Close()
 		page, err := logclient.New(address, pool).Read(t.Context(), stream, 0, 1, 0)
 		must.Eq(t, err != nil, page == nil)
--- a/internal/transport/plainservice/invalid_test.go
+++ b/internal/transport/plainservice/invalid_test.go
@@ -9,7 +9,6 @@
 
 	"medlarslip/internal/protocol/attempt"
 	"medlarslip/internal/standin/invalidresponse"
-	"medlarslip/internal/transport/httpconn"
 	"medlarslip/internal/transport/plainservice"
 )
 
@@ -18,7 +17,7 @@
 	for _, size := range []int{4 << 10, 8 << 20} {
 		for _, key := range []string{"", "key"} {
 			invalidresponse.Check(t, true, "X-Request-Id: one\r\n", "answer", func(address string) error {
-				pool := httpconn.NewPool(httpconn.DefaultOptions())
+				pool := invalidresponse.NewPool()
 				defer pool.Close()
 				call := &attempt.ServiceCall{Method: http.MethodPost, Address: address, Path: "/", RequestID: "one", IdempotencyKey: key, Body: make([]byte, size)}
 				answer, err := plainservice.New(pool).Do(t.Context(), call)
--- a/internal/transport/platformclient/invalid_test.go
+++ b/internal/transport/platformclient/invalid_test.go
@@ -6,7 +6,6 @@
 
 	"medlarslip/internal/protocol/platform"
 	"medlarslip/internal/standin/invalidresponse"
-	"medlarslip/internal/transport/httpconn"
 	"medlarslip/internal/transport/platformclient"
 )
 
@@ -15,7 +14,7 @@
 // TestInvalidResponseIsNoInstanceList guards against instances that are read from an invalid response.
 func TestInvalidResponseIsNoInstanceList(t *testing.T) {
 	invalidresponse.Check(t, false, "", `{}`, func(address string) error {
-		pool := httpconn.NewPool(httpconn.DefaultOptions())
+		pool := invalidresponse.NewPool()
 		defer pool.Close()
 		_, err := platformclient.New(address, address, pool).Instances(t.Context())
 		return err
@@ -25,7 +24,7 @@
 // TestInvalidResponseIsNoRating guards against a rating that is read from an invalid response.
 func TestInvalidResponseIsNoRating(t *testing.T) {
 	invalidresponse.Check(t, true, "", `{"request_id":"r","score":0.5}`, func(address string) error {
-		pool := httpconn.NewPool(httpconn.DefaultOptions())
+		pool := invalidresponse.NewPool()
 		defer pool.Close()
 		_, err := platformclient.New(address, address, pool).Rate(t.Context(), &platform.RatingRequest{RequestID: "r"})
 		return err
