gateway: the choice of a watchdog is named failover

No change of behaviour: the field was named probe, and its comment said that it counts nothing, though a reserved server counts as an admitted run.

--- a/internal/coordination/gateway/admission.go
+++ b/internal/coordination/gateway/admission.go
@@ -26,9 +26,9 @@
 	keptSince time.Time
 	// resumed is true while a server is sought to resume a stream.
 	resumed bool
-	// probe is true for the choice of a server that takes over from another one, which does not wait and counts
-	// nothing.
-	probe bool
+	// failover is true while a watchdog seeks a server that takes over from a silent one. It does not wait, and a
+	// lack of capacity is no refusal.
+	failover bool
 	// givenUp is true once a run was given up for lack of capacity. refusedFor is the cause.
 	givenUp    bool
 	refusedFor string
@@ -165,7 +165,7 @@
 func (w *capacityWait) giveUp(usage admission.Usage, cause string) {
 	state := &w.req.capacity
 	state.givenUp, state.refusedFor = true, cause
-	if state.probe {
+	if state.failover {
 		return
 	}
 	if state.keptSince.IsZero() {
--- a/internal/coordination/gateway/select.go
+++ b/internal/coordination/gateway/select.go
@@ -90,13 +90,13 @@
 	if stage.Trial {
 		// A session stays on the new version if no server of the rollout's subset
 		// is available.
-		if found := g.pick(ctx, req, stage.WithAllServers(), false); found != nil || req.capacity.givenUp || req.capacity.probe {
+		if found := g.pick(ctx, req, stage.WithAllServers(), false); found != nil || req.capacity.givenUp || req.capacity.failover {
 			return found
 		}
 		g.Staging.RecordOldVersionUse(req.service, req.session)
 		stage = stage.Widened()
 	}
-	if found := g.pick(ctx, req, stage, true); found != nil || req.capacity.givenUp || req.capacity.probe || version != "" {
+	if found := g.pick(ctx, req, stage, true); found != nil || req.capacity.givenUp || req.capacity.failover || version != "" {
 		return found
 	}
 	return g.pick(ctx, req, stage.Widened(), true)
@@ -137,7 +137,7 @@
 		route := g.routingRequest(req, service, prompt, stage, unconfirmed, now)
 		chosen, waitLeft := wait.decide(route, list, late || refused >= maxPermitRequests)
 		if waitLeft > 0 {
-			if req.capacity.probe {
+			if req.capacity.failover {
 				return nil
 			}
 			if wait.sleep(ctx, waitLeft); g.tooLateFor(req) {
--- a/internal/coordination/gateway/watchdog.go
+++ b/internal/coordination/gateway/watchdog.go
@@ -38,7 +38,7 @@
 // a version other than "", could take over.
 func (a *attempt) watch(wait time.Duration, stage staging.Stage, version string) *watchdog {
 	w := &watchdog{attempt: a, wait: wait, original: a.req, req: *a.req, stage: stage, version: version}
-	w.req.capacity.probe = true
+	w.req.capacity.failover = true
 	w.timer = time.AfterFunc(noTimeout, w.fire)
 	w.restart()
 	return w
