gateway: a server that a watchdog reserved is released where another one is reserved

A watchdog reserves a server and cancels its attempt; if the header of a response arrives at the same moment and its answer is weak, the run of a stronger model reserved another server, and the call on the first one was never ended. The server counted it for good, and looked more loaded than it was. Both reserve by the same method now, which ends the call on the server that it replaces.

Found in reading the change again. TestServerReservedForARetryIsReleasedByAnEscalation failed before (one call in flight, none expected), and passes now.

--- a/internal/coordination/gateway/cascade.go
+++ b/internal/coordination/gateway/cascade.go
@@ -168,7 +168,7 @@
 		choice.backend.Cancel()
 		cause = exhausted
 	default:
-		req.reserved = choice
+		req.reserve(choice)
 		return ""
 	}
 	*req.plan = before
--- a/internal/coordination/gateway/cascade_test.go
+++ b/internal/coordination/gateway/cascade_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// TestServerReservedForARetryIsReleasedByAnEscalation guards against a server that counts a call that is never made:
+// its watchdog reserved it while a weak response arrived, and the stronger run reserved another call.
+func TestServerReservedForARetryIsReleasedByAnEscalation(t *testing.T) {
+	req, a := cascadeRequest(&Gateway{}, 0, 0)
+	a.ctx = t.Context()
+	w := a.watch(time.Hour, staging.Stage{}, "")
+	w.fire()
+	w.stop()
+	must.NotNil(t, req.reserved)
+	must.True(t, a.gateway.escalate(t.Context(), req, a))
+	req.releaseReserved()
+	must.Zero(t, a.choice.backend.Snapshot().InFlight)
+}
+
 // TestCascadeSkipsModelThatAddsNothing checks that a middle model that adds
 // nothing is skipped after some requests, and that the answer of the last model
 // is always delivered.
--- a/internal/coordination/gateway/serve.go
+++ b/internal/coordination/gateway/serve.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// reserve keeps a server, on which a call has begun, for the next attempt. It replaces the one that a watchdog
+// reserved while a response arrived after all.
+func (r *request) reserve(choice *selection) {
+	r.releaseReserved()
+	r.reserved = choice
+}
+
 // releaseReserved ends the call on a server that was reserved for an attempt that was not needed.
 func (r *request) releaseReserved() {
 	if r.reserved != nil {
--- a/internal/coordination/gateway/watchdog.go
+++ b/internal/coordination/gateway/watchdog.go
@@ -66,7 +66,8 @@
 	switch {
 	case next != nil && !w.stopped && w.progress.Load() == progress && w.attempt.gateway.takeRetryBudget(&w.req):
 		// The goroutine of the request does not use these fields before stop.
-		w.original.retryReserved, w.original.reserved = true, next
+		w.original.retryReserved = true
+		w.original.reserve(next)
 		w.attempt.giveUp()
 		return
 	case next != nil:
