gateway: a watchdog derives the stage of its failover from the version

Both callers passed a stage and a version, of which the stage follows: a choice of one version has the stage of that version alone. No change of behaviour.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -65,7 +65,7 @@
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	req.tried = append(req.tried, a.server())
 	g.Metrics.Placed(req.service, a.choice.cause)
-	limit := a.watch(g.headerTimeout(req, a.choice, a.began), a.choice.stage, version)
+	limit := a.watch(g.headerTimeout(req, a.choice, a.began), version)
 	endPrefill := g.beginPrefill(a.choice)
 	a.sentAt = g.Limits.Now()
 	var err error
--- a/internal/coordination/gateway/cascade_test.go
+++ b/internal/coordination/gateway/cascade_test.go
@@ -93,7 +93,7 @@
 func TestServerReservedForARetryIsReleasedByAnEscalation(t *testing.T) {
 	req, a := cascadeRequest(&Gateway{}, 0, 0)
 	a.ctx = t.Context()
-	w := a.watch(time.Hour, staging.Stage{}, "")
+	w := a.watch(time.Hour, "")
 	w.fire()
 	w.stop()
 	must.NotNil(t, req.reserved)
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"medlarslip/internal/coordination/staging"
 	"medlarslip/internal/protocol/routes"
 )
 
@@ -179,7 +178,7 @@
 	events := newEventReader(a.response)
 	events.memory = s.req.memory
 	defer events.release()
-	silence := a.watch(s.silenceTimeout(), staging.Stage{Only: a.version()}, a.version())
+	silence := a.watch(s.silenceTimeout(), a.version())
 	defer silence.stop()
 	for received := 0; ; received++ {
 		ev, err := events.next()
--- a/internal/coordination/gateway/watchdog.go
+++ b/internal/coordination/gateway/watchdog.go
@@ -34,9 +34,13 @@
 	stopped bool
 }
 
-// watch starts a watchdog with the timeout wait. Only servers within the stage, and of
-// a version other than "", could take over.
-func (a *attempt) watch(wait time.Duration, stage staging.Stage, version string) *watchdog {
+// watch starts a watchdog with the timeout wait. Only servers of a version other than "" could take over, or
+// else those of the stage of the attempt.
+func (a *attempt) watch(wait time.Duration, version string) *watchdog {
+	stage := a.choice.stage
+	if version != "" {
+		stage = staging.Stage{Only: version}
+	}
 	w := &watchdog{attempt: a, wait: wait, original: a.req, req: *a.req, stage: stage, version: version}
 	w.req.capacity.failover = true
 	w.timer = time.AfterFunc(noTimeout, w.fire)
