httpconn: the check of a header reads each line once and copies none

The search for the end of a header began anew with each read, so that a server that sends a long header in small pieces cost time with the square of the pieces. The check of its fields copied each line. What is accepted and rejected is as before; the tests of httpconn pass unchanged.

--- a/internal/transport/httpconn/head.go
+++ b/internal/transport/httpconn/head.go
@@ -78,21 +78,21 @@
 		if len(line) == 0 {
 			break
 		}
-		name, value, found := strings.Cut(string(line), ":")
+		name, value, found := bytes.Cut(line, []byte(":"))
 		if !found || !isToken(name) {
 			return 0, errFieldName
 		}
-		if strings.EqualFold(name, "Transfer-Encoding") {
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 			encoded = true
 		}
-		if !strings.EqualFold(name, "Content-Length") {
+		if !bytes.EqualFold(name, []byte("Content-Length")) {
 			continue
 		}
-		value = strings.Trim(value, " \t")
-		if _, err := strconv.ParseUint(value, 10, 63); err != nil || (length != "" && length != value) {
+		stated := string(bytes.Trim(value, " \t"))
+		if _, err := strconv.ParseUint(stated, 10, 63); err != nil || (length != "" && length != stated) {
 			return 0, errLength
 		}
-		length = value
+		length = stated
 	}
 	switch {
 	case encoded && proto == "HTTP/1.0":
@@ -105,13 +105,21 @@
 
 // peekHead returns the header of the next response, which stays in the reader and must fit into its buffer.
 func (c *conn) peekHead() ([]byte, error) {
+	// The lines that are complete are not read again when more arrives.
+	complete := 0
 	for {
 		buffered, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
 			return nil, err
 		}
-		if size := headSize(buffered); size > 0 {
-			return buffered[:size], nil
+		for line := range bytes.Lines(buffered[complete:]) {
+			if !bytes.HasSuffix(line, []byte("\n")) {
+				break
+			}
+			complete += len(line)
+			if string(line) == "\n" || string(line) == "\r\n" {
+				return buffered[:complete], nil
+			}
 		}
 		switch _, err := c.reader.Peek(len(buffered) + 1); {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -138,26 +146,13 @@
 	return c.peekHead()
 }
 
-// headSize returns the size of the header that the text begins with, with its final empty line; 0 if the
-// text does not hold all of it.
-func headSize(text []byte) int {
-	size := 0
-	for line := range bytes.Lines(text) {
-		size += len(line)
-		if string(line) == "\n" || string(line) == "\r\n" {
-			return size
-		}
-	}
-	return 0
-}
-
 // isToken reports whether text is a token (RFC 9110, section 5.6.2), as names of fields are.
-func isToken(text string) bool {
-	for _, c := range []byte(text) {
+func isToken(text []byte) bool {
+	for _, c := range text {
 		letter, digit := 'a' <= c|0x20 && c|0x20 <= 'z', '0' <= c && c <= '9'
 		if !letter && !digit && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
 			return false
 		}
 	}
-	return text != ""
+	return len(text) > 0
 }
